--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -1,4 +1,4 @@
-// Command simhost hosts rushreach workers on the wire of the bench: batches of
+// Command simhost hosts kiteslip workers on the wire of the bench: batches of
 // events on standard input, one reply each on standard output.
 package main
 
@@ -9,8 +9,8 @@
 	"io"
 	"os"
 
-	"rushreach"
-	"rushreach/internal/wire"
+	"kiteslip"
+	"kiteslip/internal/wire"
 )
 
 func main() {
@@ -22,9 +22,9 @@
 
 // host is one instance and its events of the batch in hand.
 type host struct {
-	worker *rushreach.Worker
+	worker *kiteslip.Worker
 	gauges []string
-	events []rushreach.Event
+	events []kiteslip.Event
 	queued bool
 }
 
@@ -33,7 +33,7 @@
 	writer := bufio.NewWriterSize(out, 1<<20)
 	hosts := map[uint16]*host{}
 	var reply wire.Reply
-	var actions []rushreach.Action
+	var actions []kiteslip.Action
 	var order []uint16
 	for {
 		now, records, err := reader.Next()
@@ -57,7 +57,7 @@
 				if err != nil {
 					return fmt.Errorf("byte %d: instance %d: %w", rec.BytePlace, rec.Instance, err)
 				}
-				worker, err := rushreach.New(settings, rec.Seed)
+				worker, err := kiteslip.New(settings, rec.Seed)
 				if err != nil {
 					return fmt.Errorf("byte %d: instance %d: %w", rec.BytePlace, rec.Instance, err)
 				}
@@ -68,7 +68,7 @@
 					return fmt.Errorf("byte %d: record for instance %d, expected one that was enlisted",
 						rec.BytePlace, rec.Instance)
 				}
-				if rec.Event.Kind == rushreach.Timer {
+				if rec.Event.Kind == kiteslip.Timer {
 					rec.Event.Gauges = wire.ReadGauges(rec.Gauges, h.gauges)
 				}
 				h.events = append(h.events, rec.Event)
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -4,7 +4,7 @@
 	"encoding/json"
 	"fmt"
 
-	"rushreach"
+	"kiteslip"
 )
 
 // rawSettings mirrors the settings object of the wire; unknown keys are ignored.
@@ -76,28 +76,28 @@
 func pick[T any](words map[string]T, word string) T { return words[word] }
 
 var (
-	effects = map[string]rushreach.Effect{
-		"repeatable": rushreach.Repeatable, "by_key": rushreach.Keyed, "once": rushreach.Once,
+	effects = map[string]kiteslip.Effect{
+		"repeatable": kiteslip.Repeatable, "by_key": kiteslip.Keyed, "once": kiteslip.Once,
 	}
-	belows = map[string]rushreach.Below{"one_for_all": rushreach.BelowShared, "tier": rushreach.BelowTier}
-	stops  = map[string]rushreach.Stop{"discard": rushreach.StopDiscard, "freeze": rushreach.StopFreeze}
-	frees  = map[string]rushreach.Free{
-		"floor": rushreach.FreeFloor, "allowance": rushreach.FreeAllowance, "weight": rushreach.FreeWeight,
+	belows = map[string]kiteslip.Below{"one_for_all": kiteslip.BelowShared, "tier": kiteslip.BelowTier}
+	stops  = map[string]kiteslip.Stop{"discard": kiteslip.StopDiscard, "freeze": kiteslip.StopFreeze}
+	frees  = map[string]kiteslip.Free{
+		"floor": kiteslip.FreeFloor, "allowance": kiteslip.FreeAllowance, "weight": kiteslip.FreeWeight,
 	}
 )
 
 // ParseSettings reads the settings text of an enlist record. It also returns
 // the order of the gauges that timer records carry.
-func ParseSettings(text []byte) (rushreach.Settings, []string, error) {
+func ParseSettings(text []byte) (kiteslip.Settings, []string, error) {
 	var raw rawSettings
 	if err := json.Unmarshal(text, &raw); err != nil {
-		return rushreach.Settings{}, nil, fmt.Errorf("settings: %w", err)
+		return kiteslip.Settings{}, nil, fmt.Errorf("settings: %w", err)
 	}
 	f := &raw.Family
-	s := rushreach.Settings{
+	s := kiteslip.Settings{
 		Cores: f.Cores, MemoryKB: f.MemoryKB, RunFactor: f.Blowup, KeyKB: f.KeyKB,
 		OverShareWorth: raw.OverShareWorth, WorthByWork: raw.WorthBy == "work",
-		Goal: rushreach.Goal{Whole: raw.Goal.Whole, WorstClass: raw.Goal.WorstClass,
+		Goal: kiteslip.Goal{Whole: raw.Goal.Whole, WorstClass: raw.Goal.WorstClass,
 			WorstTenant: raw.Goal.WorstTenant, WorstWindow: raw.Goal.WorstWindow},
 		Workers: raw.GroupSize, Callers: f.Callers, Stage: raw.Stage, Tick: raw.Tick,
 		Stop: pick(stops, f.Preemption), Free: pick(frees, f.Say), FreeFor: f.HeededFor,
@@ -117,7 +117,7 @@
 			return s, nil, fmt.Errorf("settings: classes[%d].effect is %q, want repeatable, by_key or once",
 				i, c.Effect)
 		}
-		class := rushreach.Class{Effect: effect, Aim: c.OnTime, Limit: c.HardLimit, Window: c.Window,
+		class := kiteslip.Class{Effect: effect, Aim: c.OnTime, Limit: c.HardLimit, Window: c.Window,
 			Worth: c.Worth, LateWorth: c.LateWorth}
 		if i < len(f.ClassCalls) {
 			class.Calls = f.ClassCalls[i]
@@ -128,7 +128,7 @@
 		s.Classes = append(s.Classes, class)
 	}
 	for _, t := range raw.Tenants {
-		s.Tenants = append(s.Tenants, rushreach.Tenant{Quota: t.Quota})
+		s.Tenants = append(s.Tenants, kiteslip.Tenant{Quota: t.Quota})
 	}
 	return s, f.Gauges, nil
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -9,7 +9,7 @@
 	"io"
 	"math"
 
-	"rushreach"
+	"kiteslip"
 )
 
 // Record codes of events.
@@ -42,7 +42,7 @@
 type Record struct {
 	Kind      Kind
 	Instance  uint16
-	Event     rushreach.Event
+	Event     kiteslip.Event
 	Gauges    []byte // raw readings of a timer record, in the order of the settings
 	Seed      uint64
 	Settings  []byte // valid until the next batch
@@ -132,7 +132,7 @@
 	return float64(math.Float32frombits(c.u32()))
 }
 
-func (c *cursor) id() rushreach.RequestID { return rushreach.RequestID(c.u32()) }
+func (c *cursor) id() kiteslip.RequestID { return kiteslip.RequestID(c.u32()) }
 
 func (c *cursor) record() (Record, error) {
 	start := c.base + int64(c.at)
@@ -141,7 +141,7 @@
 	e := &rec.Event
 	switch code {
 	case codeAccept:
-		e.Kind = rushreach.Arrive
+		e.Kind = kiteslip.Arrive
 		e.ID = c.id()
 		e.Class, e.Tenant = int(c.u16()), int(c.u16())
 		e.Key, e.Deadline, e.Hint = c.u64(), int64(c.u64()), int64(c.u32())
@@ -153,25 +153,25 @@
 		}
 		e.Sender, e.Waited, e.Prior = int(c.u16()), int64(c.u32()), c.id()
 	case codeDrain:
-		e.Kind, e.Deadline = rushreach.Drain, int64(c.u64())
+		e.Kind, e.Deadline = kiteslip.Drain, int64(c.u64())
 	case codeEnlist:
 		rec.Kind, rec.Seed = Enlist, c.u64()
 		rec.Settings = c.take(int(c.u32()))
 	case codeCalled:
-		e.Kind, e.ID = rushreach.Called, c.id()
-		e.Outcome, e.Elapsed = rushreach.Outcome(c.u16()), int64(c.u32())
+		e.Kind, e.ID = kiteslip.Called, c.id()
+		e.Outcome, e.Elapsed = kiteslip.Outcome(c.u16()), int64(c.u32())
 	case codeElapsed:
-		e.Kind, e.Token = rushreach.Timer, c.u64()
+		e.Kind, e.Token = kiteslip.Timer, c.u64()
 		rec.Gauges = c.take(4 * int(c.u8()))
 	case codeShutdown:
 		rec.Kind = Shutdown
 	case codeGone:
-		e.Kind, e.ID = rushreach.Gone, c.id()
+		e.Kind, e.ID = kiteslip.Gone, c.id()
 	case codeDone:
-		e.Kind, e.ID = rushreach.Done, c.id()
-		e.Outcome, e.Elapsed = rushreach.Outcome(c.u16()), int64(c.u32())
+		e.Kind, e.ID = kiteslip.Done, c.id()
+		e.Outcome, e.Elapsed = kiteslip.Outcome(c.u16()), int64(c.u32())
 	case codeNeeds:
-		e.Kind, e.ID = rushreach.Needs, c.id()
+		e.Kind, e.ID = kiteslip.Needs, c.id()
 	default:
 		if !c.short {
 			return rec, fmt.Errorf("byte %d: record code %d, expected 1 to 9", start, code)
@@ -185,8 +185,8 @@
 }
 
 // ReadGauges turns the raw readings of a timer record into Gauges, by their names.
-func ReadGauges(raw []byte, names []string) rushreach.Gauges {
-	g := rushreach.Gauges{}
+func ReadGauges(raw []byte, names []string) kiteslip.Gauges {
+	g := kiteslip.Gauges{}
 	for i, name := range names {
 		if 4*i+4 > len(raw) {
 			break
@@ -230,46 +230,46 @@
 func clip(v int64) uint32 { return uint32(max(0, min(v, math.MaxUint32))) }
 
 // Add writes one action of an instance.
-func (r *Reply) Add(instance uint16, a *rushreach.Action) error {
+func (r *Reply) Add(instance uint16, a *kiteslip.Action) error {
 	le := binary.LittleEndian
 	open := func(code byte) { r.b = le.AppendUint16(append(r.b, code), instance) }
 	named := func(code byte) { open(code); r.b = le.AppendUint32(r.b, uint32(a.ID)) }
 	switch a.Kind {
-	case rushreach.SetTimer:
+	case kiteslip.SetTimer:
 		open(65)
 		r.b = le.AppendUint64(le.AppendUint32(r.b, clip(a.After)), a.Token)
-	case rushreach.Run:
+	case kiteslip.Run:
 		named(66)
-	case rushreach.Call:
+	case kiteslip.Call:
 		named(67)
 		r.b = le.AppendUint32(r.b, clip(a.After))
-	case rushreach.Log:
+	case kiteslip.Log:
 		open(68)
 		text := a.Text[:min(len(a.Text), math.MaxUint16)]
 		r.b = append(le.AppendUint16(r.b, uint16(len(text))), text...)
-	case rushreach.Health:
+	case kiteslip.Health:
 		open(69)
 		r.b = append(r.b, flag(a.On), flag(a.Stored))
-	case rushreach.Idle:
+	case kiteslip.Idle:
 		open(70)
 		r.b = le.AppendUint32(r.b, clip(a.After))
-	case rushreach.Halt:
+	case kiteslip.Halt:
 		named(71)
-	case rushreach.Say:
+	case kiteslip.Say:
 		open(72)
 		r.b = le.AppendUint32(r.b, math.Float32bits(float32(a.Value)))
-	case rushreach.Reuse:
+	case kiteslip.Reuse:
 		named(73)
-	case rushreach.Forget:
+	case kiteslip.Forget:
 		named(74)
-	case rushreach.Keep:
+	case kiteslip.Keep:
 		named(75)
 		r.b = le.AppendUint32(r.b, clip(a.After))
-	case rushreach.Fail:
+	case kiteslip.Fail:
 		named(76)
-	case rushreach.Skip:
+	case kiteslip.Skip:
 		named(77)
-	case rushreach.Refuse:
+	case kiteslip.Refuse:
 		named(79)
 		r.b = append(le.AppendUint32(r.b, clip(a.After)), flag(a.On))
 	default:
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -8,7 +8,7 @@
 	"strings"
 	"testing"
 
-	"rushreach"
+	"kiteslip"
 )
 
 func frame(t testing.TB, text string) []byte {
@@ -34,12 +34,12 @@
 	if now != 1000 || len(recs) != 2 || recs[0].Instance != 7 {
 		t.Fatalf("now %d, records %+v", now, recs)
 	}
-	want := rushreach.Event{Kind: rushreach.Arrive, ID: 1, Class: 1, Tenant: 2, Deadline: 4096, SizeKB: 10,
+	want := kiteslip.Event{Kind: kiteslip.Arrive, ID: 1, Class: 1, Tenant: 2, Deadline: 4096, SizeKB: 10,
 		Rank: 0.5, Again: true, Write: true, Sender: 3, Waited: 100, Prior: 9}
 	if recs[0].Event != want {
 		t.Errorf("got %+v, want %+v", recs[0].Event, want)
 	}
-	want = rushreach.Event{Kind: rushreach.Done, ID: 1, Outcome: rushreach.OK, Elapsed: 5000}
+	want = kiteslip.Event{Kind: kiteslip.Done, ID: 1, Outcome: kiteslip.OK, Elapsed: 5000}
 	if recs[1].Event != want {
 		t.Errorf("got %+v, want %+v", recs[1].Event, want)
 	}
@@ -68,9 +68,9 @@
 func TestReply(t *testing.T) {
 	var r Reply
 	r.Reset()
-	for _, a := range []rushreach.Action{
-		{Kind: rushreach.Run, ID: 1}, {Kind: rushreach.Refuse, ID: 2, After: 250_000, On: true},
-		{Kind: rushreach.SetTimer, After: -5, Token: 3}, {Kind: rushreach.Log, Text: "hi"},
+	for _, a := range []kiteslip.Action{
+		{Kind: kiteslip.Run, ID: 1}, {Kind: kiteslip.Refuse, ID: 2, After: 250_000, On: true},
+		{Kind: kiteslip.SetTimer, After: -5, Token: 3}, {Kind: kiteslip.Log, Text: "hi"},
 	} {
 		if err := r.Add(7, &a); err != nil {
 			t.Fatal(err)
@@ -81,7 +81,7 @@
 	if got := r.Bytes(); !bytes.Equal(got, want) {
 		t.Errorf("got %x, want %x", got, want)
 	}
-	if err := r.Add(7, &rushreach.Action{Kind: 200}); err == nil {
+	if err := r.Add(7, &kiteslip.Action{Kind: 200}); err == nil {
 		t.Error("an unknown action was written")
 	}
 }
@@ -93,8 +93,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if s.Cores != 3 || s.Below != rushreach.BelowTier || s.Free != rushreach.FreeFloor || s.MaxRetryAfter != 0 ||
-		s.Stop != rushreach.StopFreeze || s.Classes[0].Effect != rushreach.Keyed || !s.WorthByWork || len(gauges) != 1 {
+	if s.Cores != 3 || s.Below != kiteslip.BelowTier || s.Free != kiteslip.FreeFloor || s.MaxRetryAfter != 0 ||
+		s.Stop != kiteslip.StopFreeze || s.Classes[0].Effect != kiteslip.Keyed || !s.WorthByWork || len(gauges) != 1 {
 		t.Errorf("got %+v %v", s, gauges)
 	}
 	for text, want := range map[string]string{
--- a/rushreach.go
+++ b/kiteslip.go
@@ -1,4 +1,4 @@
-// Package rushreach decides, inside one server of a fleet, what it takes,
+// Package kiteslip decides, inside one server of a fleet, what it takes,
 // runs and turns away.
 //
 // A host owns one Worker for each server process. It hands the worker what
@@ -20,7 +20,7 @@
 //     with no use for them may ignore them, the rules do not rest on them.
 //   - A Timer action asks for one Timer event at or after its time; a host must
 //     honour it, for deadlines hang on it.
-package rushreach
+package kiteslip
 
 // RequestID names one try of a request on this worker; it is never used again
 // while the worker lives. Zero is no request.
--- a/policy.go
+++ b/policy.go
@@ -1,9 +1,9 @@
-// The decisions of rushreach. The types that go in and out are in rushreach.go.
+// The decisions of kiteslip. The types that go in and out are in kiteslip.go.
 //
 // Read from top to bottom: settings and constants, state, Step, admission draw,
 // running limit, hold order, calls, keys, drain and due times, health and advice.
 
-package rushreach
+package kiteslip
 
 import (
 	"cmp"
--- a/policy_test.go
+++ b/policy_test.go
@@ -1,4 +1,4 @@
-package rushreach
+package kiteslip
 
 import (
 	"fmt"
--- a/state.go
+++ b/state.go
@@ -1,4 +1,4 @@
-package rushreach
+package kiteslip
 
 import (
 	"errors"
@@ -11,7 +11,7 @@
 	var errs []error
 	need := func(ok bool, name string, value any) {
 		if !ok {
-			errs = append(errs, fmt.Errorf("rushreach: %s is %v", name, value))
+			errs = append(errs, fmt.Errorf("kiteslip: %s is %v", name, value))
 		}
 	}
 	size := func(v float64) bool { return v >= 0 && !math.IsInf(v, 0) }
