Put a server on sockets round the module

One gnet loop owns all state; the core keeps the book on requests, keys and answers, and steps the module once a round.

Seen: before this there was no server.

gnet hands out its loop only with a connection and its server has no way to close a listener before its end, so the loop is that of a gnet client: accepted sockets and the engine's link are enrolled in it, a socket pair gives the handle for queued tasks. Accepting stays in one goroutine.

The module learns late whether its cores started cold (HELLO), hence Worker.Warmth.

--- /dev/null
+++ b/cmd/kiteslip/main.go
@@ -0,0 +1,94 @@
+// Command kiteslip serves requests from callers, with the decisions of the
+// kiteslip module, on real sockets.
+package main
+
+import (
+	"fmt"
+	"math"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+	"go.uber.org/zap"
+
+	"kiteslip/internal/config"
+	"kiteslip/internal/server"
+)
+
+// version is set by the linker; see the Makefile.
+var version = "development"
+
+type cli struct {
+	Serve   serveCmd   `cmd:"" default:"withargs" help:"Serve until SIGTERM (the default)."`
+	Check   checkCmd   `cmd:"" help:"Read and check the configuration, and say what it amounts to."`
+	Version versionCmd `cmd:"" help:"Print the version."`
+}
+
+type serveCmd struct {
+	LogLevel string `enum:"debug,info,warn,error" default:"info" env:"KITESLIP_LOG" help:"The least level that is logged: ${enum}."`
+}
+
+// memoryShare is the part of the memory limit that the Go heap may fill
+// before the collector works harder; the rest is for stacks and the system.
+const memoryShare = 0.8
+
+func (c *serveCmd) Run() error {
+	cfg, err := config.Load(os.Getenv)
+	if err != nil {
+		return err
+	}
+	log, err := logger(c.LogLevel)
+	if err != nil {
+		return err
+	}
+	defer log.Sync() //nolint:errcheck // standard error cannot always be synced
+	runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Limits.Cores))))
+	debug.SetMemoryLimit(int64(memoryShare * float64(cfg.Limits.MemoryMB) * (1 << 20)))
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	s, err := server.New(cfg, log)
+	if err != nil {
+		return err
+	}
+	return s.Run(signals)
+}
+
+func logger(level string) (*zap.Logger, error) {
+	at, err := zap.ParseAtomicLevel(level)
+	if err != nil {
+		return nil, err
+	}
+	zc := zap.NewProductionConfig()
+	zc.Level = at
+	zc.OutputPaths, zc.ErrorOutputPaths = []string{"stderr"}, []string{"stderr"}
+	return zc.Build()
+}
+
+type checkCmd struct{}
+
+func (c *checkCmd) Run() error {
+	cfg, err := config.Load(os.Getenv)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("%s listens on %s, engine %s, registry %s\n", cfg.Name, cfg.Listen, cfg.Engine, cfg.Registry)
+	fmt.Printf("limits: %g cores, %d MB, %d sockets\n", cfg.Limits.Cores, cfg.Limits.MemoryMB, cfg.Limits.Sockets)
+	fmt.Printf("classes: %q, tenants: %q\n", cfg.Classes, cfg.Tenants)
+	return nil
+}
+
+type versionCmd struct{}
+
+func (c *versionCmd) Run() error {
+	fmt.Println("kiteslip", version, runtime.Version())
+	return nil
+}
+
+func main() {
+	ctx := kong.Parse(&cli{}, kong.Name("kiteslip"), kong.UsageOnError(),
+		kong.Description("A server that decides what it takes, runs and turns away."))
+	ctx.FatalIfErrorf(ctx.Run())
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,216 @@
+// Package config is the one place that reads the configuration, checks it and
+// puts defaults where something is absent. Its errors name the faulty key.
+package config
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+
+	"kiteslip"
+	"kiteslip/internal/wire"
+)
+
+// The environment that the platform sets.
+const (
+	EnvName   = "EDGE_NAME"
+	EnvListen = "EDGE_LISTEN"
+	EnvConfig = "EDGE_CONFIG"
+)
+
+// Limits are what the platform grants to the program.
+type Limits struct {
+	Cores    float64 `json:"cores"`
+	MemoryMB int     `json:"memory_mb"`
+	Sockets  int     `json:"sockets"`
+}
+
+// Config is a checked configuration.
+type Config struct {
+	Name     string
+	Listen   string
+	Engine   string
+	Registry string // "" = report nowhere
+	Seed     uint64
+	Stop     int64 // from the notice to leave to the kill, microseconds
+	Limits   Limits
+	Module   kiteslip.Settings
+	Gauges   []string
+	Classes  []string
+	Tenants  []string
+}
+
+// raw mirrors the file that EDGE_CONFIG names.
+type raw struct {
+	Name     string          `json:"name"`
+	Listen   string          `json:"listen"`
+	Engine   string          `json:"engine"`
+	Registry string          `json:"registry"`
+	Seed     string          `json:"seed"`
+	StopMS   *float64        `json:"stop_ms"`
+	Limits   Limits          `json:"limits"`
+	Settings json.RawMessage `json:"settings"`
+}
+
+// names are the parts of the settings that only a server needs.
+type names struct {
+	Classes []struct {
+		Name string `json:"name"`
+	} `json:"classes"`
+	Tenants []struct {
+		Name string `json:"name"`
+	} `json:"tenants"`
+}
+
+// The defaults: the limits of the platform's scored days.
+const (
+	defaultCores    = 1.0
+	defaultMemoryMB = 192
+	defaultSockets  = 1024
+	defaultStopMS   = 3000
+	leastMemoryMB   = 16
+	leastSockets    = 32
+)
+
+// Load reads the platform's configuration through getenv.
+func Load(getenv func(string) string) (*Config, error) {
+	path := getenv(EnvConfig)
+	if path == "" {
+		return nil, fmt.Errorf("config: %s is not set", EnvConfig)
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("config: %s: %w", EnvConfig, err)
+	}
+	c, err := Parse(text, getenv(EnvName), getenv(EnvListen))
+	if err != nil {
+		return nil, fmt.Errorf("config: %s: %w", path, err)
+	}
+	return c, nil
+}
+
+// Parse reads the platform's JSON. A name or address that is given stands over that of the text.
+func Parse(text []byte, name, listen string) (*Config, error) {
+	var r raw
+	if err := json.Unmarshal(text, &r); err != nil {
+		return nil, jsonError(err)
+	}
+	if name != "" {
+		r.Name = name
+	}
+	if listen != "" {
+		r.Listen = listen
+	}
+	c := &Config{Name: r.Name, Listen: r.Listen, Engine: r.Engine, Registry: r.Registry, Limits: r.Limits}
+	var errs []error
+	fail := func(key, format string, args ...any) {
+		errs = append(errs, fmt.Errorf("%s %s", key, fmt.Sprintf(format, args...)))
+	}
+	if c.Name == "" {
+		fail("name", "is absent (or set %s)", EnvName)
+	}
+	address := func(key, value string, needed bool) {
+		if value == "" {
+			if needed {
+				fail(key, "is absent")
+			}
+			return
+		}
+		if _, _, err := net.SplitHostPort(value); err != nil {
+			fail(key, "is %q, want host:port", value)
+		}
+	}
+	address("listen", c.Listen, true)
+	address("engine", c.Engine, true)
+	address("registry", c.Registry, false)
+	if r.Seed != "" {
+		seed, err := strconv.ParseUint(r.Seed, 16, 64)
+		if err != nil {
+			fail("seed", "is %q, want up to 16 hex digits", r.Seed)
+		}
+		c.Seed = seed
+	}
+	stop := float64(defaultStopMS)
+	if r.StopMS != nil {
+		stop = *r.StopMS
+	}
+	if stop <= 0 || stop > 3_600_000 {
+		fail("stop_ms", "is %v, want above 0 and at most an hour", stop)
+	}
+	c.Stop = int64(stop * 1000)
+	c.Limits.defaults(fail)
+	if len(r.Settings) == 0 {
+		fail("settings", "are absent")
+		return nil, errors.Join(errs...)
+	}
+	if err := c.settings(r.Settings); err != nil {
+		errs = append(errs, err)
+	}
+	return c, errors.Join(errs...)
+}
+
+// defaults fills in absent limits and checks the others.
+func (l *Limits) defaults(fail func(key, format string, args ...any)) {
+	if l.Cores == 0 {
+		l.Cores = defaultCores
+	}
+	if l.MemoryMB == 0 {
+		l.MemoryMB = defaultMemoryMB
+	}
+	if l.Sockets == 0 {
+		l.Sockets = defaultSockets
+	}
+	if !(l.Cores > 0) {
+		fail("limits.cores", "is %v, want above 0", l.Cores)
+	}
+	if l.MemoryMB < leastMemoryMB {
+		fail("limits.memory_mb", "is %d, want %d at least", l.MemoryMB, leastMemoryMB)
+	}
+	if l.Sockets < leastSockets {
+		fail("limits.sockets", "is %d, want %d at least", l.Sockets, leastSockets)
+	}
+}
+
+// settings reads the object that the simulator gives to an instance.
+func (c *Config) settings(text []byte) error {
+	var err error
+	if c.Module, c.Gauges, err = wire.ParseSettings(text); err != nil {
+		return err
+	}
+	if _, err := kiteslip.New(c.Module, 0); err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	var n names
+	if err := json.Unmarshal(text, &n); err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	seen := map[string]bool{}
+	for i, class := range n.Classes {
+		if class.Name == "" || seen[class.Name] {
+			return fmt.Errorf("settings.classes[%d].name is %q, want a name of its own", i, class.Name)
+		}
+		seen[class.Name] = true
+		c.Classes = append(c.Classes, class.Name)
+	}
+	clear(seen)
+	for i, tenant := range n.Tenants {
+		if tenant.Name == "" || seen[tenant.Name] {
+			return fmt.Errorf("settings.tenants[%d].name is %q, want a name of its own", i, tenant.Name)
+		}
+		seen[tenant.Name] = true
+		c.Tenants = append(c.Tenants, tenant.Name)
+	}
+	return nil
+}
+
+// jsonError names the key at which a value has the wrong type.
+func jsonError(err error) error {
+	var wrong *json.UnmarshalTypeError
+	if errors.As(err, &wrong) && wrong.Field != "" {
+		return fmt.Errorf("%s is a %s, want %s", wrong.Field, wrong.Value, wrong.Type)
+	}
+	return err
+}
--- /dev/null
+++ b/internal/engine/engine.go
@@ -0,0 +1,262 @@
+// Package engine speaks with the process that owns the cores. A Link is the
+// state of that conversation; it does no I/O of its own. Bytes that came are
+// given to Feed, bytes to send go out through the function that Attach is given.
+package engine
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"strconv"
+
+	"kiteslip"
+	"kiteslip/internal/core"
+)
+
+// Events takes what the engine tells.
+type Events interface {
+	Hello(cold bool, up int64) // the engine's cores came up that many microseconds ago
+	Done(r *core.Request, outcome kiteslip.Outcome, elapsed int64, result []byte)
+	Stats(values []float32)
+	Tested(tag string, ok bool)
+}
+
+const (
+	maxLine   = 4 << 10
+	maxResult = 64 << 10 // a result may hold 4 KiB; more is not believed
+)
+
+// ErrProtocol says that the engine sent what is not a notice.
+var ErrProtocol = errors.New("engine: not a notice")
+
+// run is a request that was handed over and has not ended.
+type run struct {
+	r       *core.Request
+	written bool // to some link; otherwise the engine has not seen it
+	resend  bool // written to a link that was lost, and safe to write again
+}
+
+// Link is the state of the conversation with one engine.
+type Link struct {
+	events  Events
+	classes []string
+	safe    []bool                // by class: running twice does no harm
+	send    func(parts ...[]byte) // nil while there is no link
+	ready   bool                  // HELLO and the replayed notices are in
+	last    uint64                // the number of the last notice that was read
+	runs    map[string]*run
+	stat    bool // a STAT is out
+}
+
+// fence is the tag of the STAT that follows HELLO: its answer comes after the
+// replayed notices.
+const fence = "fence"
+
+// NewLink returns a Link for the classes named, in the order of the settings.
+func NewLink(events Events, classes []string, safe []bool) *Link {
+	return &Link{events: events, classes: classes, safe: safe, runs: map[string]*run{}}
+}
+
+// Attach takes a new connection into use, through send. What it sends must be
+// written, in order, before send returns or kept until it can be.
+func (l *Link) Attach(send func(parts ...[]byte)) {
+	l.send, l.ready, l.stat = send, false, false
+	l.send(fmt.Appendf(nil, "ATTACH %d\r\n", l.last))
+}
+
+// Lost says that the connection is gone. Runs go on meanwhile.
+func (l *Link) Lost() {
+	l.send, l.ready, l.stat = nil, false, false
+	for _, u := range l.runs {
+		u.resend = u.written && l.safe[u.r.Class]
+	}
+}
+
+// Ready says whether the engine answers.
+func (l *Link) Ready() bool { return l.ready }
+
+// Running is the number of runs without a notice of their end.
+func (l *Link) Running() int { return len(l.runs) }
+
+// Run hands a request over, at once or when the link is up.
+func (l *Link) Run(r *core.Request) {
+	u := &run{r: r}
+	l.runs[r.Name] = u
+	if l.ready {
+		l.write(u)
+	}
+}
+
+func (l *Link) write(u *run) {
+	u.written, u.resend = true, false
+	line := fmt.Appendf(nil, "RUN %s %s %d\r\n", u.r.Name, l.classes[u.r.Class], len(u.r.Body))
+	l.send(line, u.r.Body, crlf)
+}
+
+var crlf = []byte("\r\n")
+
+// Stat asks for the gauges, unless an answer is still to come.
+func (l *Link) Stat() {
+	if l.ready && !l.stat {
+		l.stat = true
+		l.send([]byte("STAT g\r\n"))
+	}
+}
+
+// Test asks for the work of a deep health check. It reports false when there
+// is no link to ask on.
+func (l *Link) Test(tag string) bool {
+	if !l.ready {
+		return false
+	}
+	l.send([]byte("TEST " + tag + "\r\n"))
+	return true
+}
+
+// Feed takes in the notices at the start of b and returns how many bytes they
+// took; the rest is to be given again with what follows it.
+func (l *Link) Feed(b []byte) (int, error) {
+	used := 0
+	for {
+		n, err := l.notice(b[used:])
+		if err != nil || n == 0 {
+			return used, err
+		}
+		used += n
+	}
+}
+
+// notice takes in the first notice of b; 0 means that more bytes are needed.
+func (l *Link) notice(b []byte) (int, error) {
+	end := bytes.Index(b, crlf)
+	if end < 0 {
+		if len(b) > maxLine {
+			return 0, fmt.Errorf("%w: a line of over %d bytes", ErrProtocol, maxLine)
+		}
+		return 0, nil
+	}
+	line := b[:end]
+	used := end + len(crlf)
+	var w [8][]byte
+	words := w[:0]
+	for word := range bytes.FieldsSeq(line) {
+		if len(words) == len(w) {
+			break
+		}
+		words = append(words, word)
+	}
+	if len(words) == 0 {
+		return 0, fmt.Errorf("%w: an empty line", ErrProtocol)
+	}
+	bad := func() (int, error) { return 0, fmt.Errorf("%w: %.80q", ErrProtocol, line) }
+	switch string(words[0]) {
+	case "HELLO":
+		if len(words) < 3 {
+			return bad()
+		}
+		ms, err := strconv.ParseFloat(string(words[2]), 64)
+		if err != nil {
+			return bad()
+		}
+		l.events.Hello(string(words[1]) == "chilly", int64(ms*1000))
+		l.send([]byte("STAT " + fence + "\r\n"))
+	case "DONE":
+		if len(words) != 6 {
+			return bad()
+		}
+		number, err1 := strconv.ParseUint(string(words[1]), 10, 64)
+		ms, err2 := strconv.ParseFloat(string(words[4]), 64)
+		size, err3 := strconv.Atoi(string(words[5]))
+		outcome, known := outcomes[string(words[3])]
+		if err1 != nil || err2 != nil || err3 != nil || !known || size < 0 || size > maxResult {
+			return bad()
+		}
+		if len(b) < used+size+len(crlf) {
+			return 0, nil
+		}
+		result := append([]byte(nil), b[used:used+size]...)
+		if !bytes.Equal(b[used+size:used+size+len(crlf)], crlf) {
+			return bad()
+		}
+		used += size + len(crlf)
+		if !l.advance(number) {
+			break
+		}
+		if u := l.runs[string(words[2])]; u != nil {
+			delete(l.runs, u.r.Name)
+			l.events.Done(u.r, outcome, int64(ms*1000), result)
+		}
+	case "NOTE":
+		if len(words) < 2 {
+			return bad()
+		}
+		number, err := strconv.ParseUint(string(words[1]), 10, 64)
+		if err != nil {
+			return bad()
+		}
+		l.advance(number)
+	case "STATS":
+		l.stats(words[1:])
+	case "TESTED":
+		if len(words) != 3 {
+			return bad()
+		}
+		l.events.Tested(string(words[1]), string(words[2]) == "complete")
+	case "NO":
+		// A RUN that was not carried out: nothing was started.
+		if len(words) >= 3 && string(words[1]) == "RUN" {
+			if u := l.runs[string(words[2])]; u != nil {
+				delete(l.runs, u.r.Name)
+				l.events.Done(u.r, kiteslip.Moot, 0, nil)
+			}
+		}
+	default:
+		return bad()
+	}
+	return used, nil
+}
+
+var outcomes = map[string]kiteslip.Outcome{
+	"complete": kiteslip.OK, "error": kiteslip.Failed, "cancelled": kiteslip.Cancelled, "unknown": kiteslip.Moot,
+}
+
+// advance notes the number of a notice; false means that it was read before.
+func (l *Link) advance(number uint64) bool {
+	if number <= l.last {
+		return false
+	}
+	l.last = number
+	return true
+}
+
+func (l *Link) stats(words [][]byte) {
+	if len(words) == 0 {
+		return
+	}
+	values := make([]float32, 0, 8)
+	for _, word := range words[1:] {
+		v, err := strconv.ParseFloat(string(word), 32)
+		if err != nil {
+			return
+		}
+		values = append(values, float32(v))
+	}
+	l.stat = false
+	l.events.Stats(values)
+	if string(words[0]) == fence && !l.ready {
+		l.open()
+	}
+}
+
+// open ends the attachment: all notices of the time without a link are in, so
+// what is still in the book either runs or was never read. A run that is safe
+// to repeat is written again, which does nothing if it runs; a keyed one that
+// may have been read is not: it could have ended since the last notice.
+func (l *Link) open() {
+	l.ready = true
+	for _, u := range l.runs {
+		if !u.written || u.resend {
+			l.write(u)
+		}
+	}
+}
--- /dev/null
+++ b/internal/frame/frame.go
@@ -0,0 +1,140 @@
+// Package frame reads and writes the platform's length-prefixed frames. It
+// parses in place and keeps nothing: what it returns points into its input.
+package frame
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+)
+
+// The types of a frame.
+const (
+	Request = 65
+	Answer  = 66
+	Cancel  = 67
+	Check   = 80
+	Checked = 81
+	GoAway  = 90
+)
+
+// The codes of an answer.
+const (
+	Served  = 79
+	Refused = 66
+	Failed  = 69
+	Good    = 79 // of a health check
+	Bad     = 69
+)
+
+// The limits of the protocol.
+const (
+	MinLength  = 5
+	MaxLength  = 262_144
+	MaxBody    = 2 << 10
+	MaxResult  = 4 << 10
+	MaxStreams = 32 // open requests on one connection
+	headSize   = 4 + MinLength
+)
+
+// ErrLength says that a frame's length lies outside the protocol's bounds.
+var ErrLength = errors.New("frame: length out of bounds")
+
+// Frame is one frame. The payload points into the input.
+type Frame struct {
+	Type    byte
+	Stream  uint32
+	Payload []byte
+}
+
+// Split returns the first frame of b and the number of bytes that it takes;
+// 0 means that more bytes are needed.
+func Split(b []byte) (Frame, int, error) {
+	if len(b) < 4 {
+		return Frame{}, 0, nil
+	}
+	n := binary.BigEndian.Uint32(b)
+	if n < MinLength || n > MaxLength {
+		return Frame{}, 0, fmt.Errorf("%w: %d", ErrLength, n)
+	}
+	end := 4 + int(n)
+	if len(b) < end {
+		return Frame{}, 0, nil
+	}
+	return Frame{Type: b[4], Stream: binary.BigEndian.Uint32(b[5:]), Payload: b[headSize:end]}, end, nil
+}
+
+// Fields are the fields of a payload, still in their wire form.
+type Fields struct {
+	raw   []byte
+	count int
+}
+
+// ParseFields checks the fields at the start of a payload and returns them
+// with what follows, the body.
+func ParseFields(p []byte) (Fields, []byte, error) {
+	if len(p) < 1 {
+		return Fields{}, nil, errors.New("frame: no field count")
+	}
+	f := Fields{count: int(p[0])}
+	rest := p[1:]
+	for i := range f.count {
+		if len(rest) < 1 || len(rest) < 1+int(rest[0])+2 {
+			return Fields{}, nil, fmt.Errorf("frame: field %d is cut short", i)
+		}
+		name := int(rest[0])
+		size := int(binary.BigEndian.Uint16(rest[1+name:]))
+		if len(rest) < 3+name+size {
+			return Fields{}, nil, fmt.Errorf("frame: field %d is cut short", i)
+		}
+		rest = rest[3+name+size:]
+	}
+	f.raw = p[1 : len(p)-len(rest)]
+	return f, rest, nil
+}
+
+// All yields each field's name and value, in order.
+func (f Fields) All(yield func(name, value []byte) bool) {
+	b := f.raw
+	for range f.count {
+		name := int(b[0])
+		size := int(binary.BigEndian.Uint16(b[1+name:]))
+		if !yield(b[1:1+name], b[3+name:3+name+size]) {
+			return
+		}
+		b = b[3+name+size:]
+	}
+}
+
+// AppendHead appends the head of a frame whose payload takes size bytes.
+func AppendHead(b []byte, kind byte, stream uint32, size int) []byte {
+	b = binary.BigEndian.AppendUint32(b, uint32(MinLength+size))
+	b = append(b, kind)
+	return binary.BigEndian.AppendUint32(b, stream)
+}
+
+// Field is a field to be written.
+type Field struct{ Name, Value string }
+
+// AppendAnswer appends the head of an answer, its code and fields; a body of
+// size bytes is to follow. Names over 255 and values over 65,535 bytes do not fit a frame.
+func AppendAnswer(b []byte, kind byte, stream uint32, code byte, fields []Field, size int) []byte {
+	n := 2 + size
+	for _, f := range fields {
+		n += 3 + len(f.Name) + len(f.Value)
+	}
+	b = AppendHead(b, kind, stream, n)
+	return AppendFields(append(b, code), fields)
+}
+
+// AppendFields appends a count and the fields.
+func AppendFields(b []byte, fields []Field) []byte {
+	b = append(b, byte(len(fields)))
+	for _, f := range fields {
+		b = append(b, byte(len(f.Name)))
+		b = append(b, f.Name...)
+		b = binary.BigEndian.AppendUint16(b, uint16(len(f.Value)))
+		b = append(b, f.Value...)
+	}
+	return b
+}
--- /dev/null
+++ b/internal/frame/request.go
@@ -0,0 +1,144 @@
+package frame
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"math"
+	"strconv"
+
+	"kiteslip/internal/core"
+)
+
+// Names maps the names on the wire to places in the settings.
+type Names struct {
+	Classes map[string]int
+	Keyed   []bool         // by class
+	Tenants map[string]int // empty where the site has no tenants
+}
+
+// The largest figures that are believed: an hour of waiting, and the memory
+// that the protocol allows for one request.
+const (
+	maxTimeout = 3_600_000
+	maxNeedKB  = 2_000
+	maxWorkMS  = 3_600_000
+	maxKey     = 128
+)
+
+// ParseRequest reads the payload of a request. What it returns shares no
+// memory with the payload.
+func ParseRequest(payload []byte, names *Names) (*core.Request, error) {
+	fields, body, err := ParseFields(payload)
+	if err != nil {
+		return nil, err
+	}
+	if len(body) > MaxBody {
+		return nil, fmt.Errorf("frame: body of %d bytes, at most %d are allowed", len(body), MaxBody)
+	}
+	r := &core.Request{Class: -1, Tenant: -1, Arrived: -1}
+	timeout := int64(-1)
+	var bad error
+	for name, value := range fields.All {
+		var ok bool
+		switch string(name) {
+		case "kind":
+			r.Class, ok = names.Classes[string(value)]
+		case "req":
+			r.Name, ok = string(value), hex16(value)
+		case "ts":
+			r.Arrived, ok = whole(value, math.MaxInt64/1000)
+			r.Arrived *= 1000
+		case "via":
+			var via int64
+			via, ok = whole(value, math.MaxInt32)
+			r.Caller = int(via)
+		case "owner":
+			r.Tenant, ok = names.Tenants[string(value)]
+			ok = ok || len(names.Tenants) == 0
+		case "timeout":
+			timeout, ok = whole(value, maxTimeout)
+		case "ms":
+			var ms float64
+			ms, ok = decimal(value, 0, maxWorkMS)
+			r.Hint = int64(ms * 1000)
+		case "need":
+			r.SizeKB, ok = decimal(value, 0, maxNeedKB)
+			ok = ok && r.SizeKB > 0
+		case "level":
+			r.Rank, ok = decimal(value, 0, 1)
+		case "opkey":
+			r.Key, ok = string(value), len(value) > 0 && len(value) <= maxKey
+		case "subject":
+			r.Subject, ok = subject(value)
+		default:
+			ok = true // later versions may add fields
+		}
+		if !ok && bad == nil {
+			bad = fmt.Errorf("frame: field %q cannot be used", name)
+		}
+	}
+	switch {
+	case bad != nil:
+		return nil, bad
+	case r.Class < 0:
+		return nil, errors.New(`frame: field "kind" is absent`)
+	case r.Name == "":
+		return nil, errors.New(`frame: field "req" is absent`)
+	case r.Arrived < 0:
+		return nil, errors.New(`frame: field "ts" is absent`)
+	case timeout < 0:
+		return nil, errors.New(`frame: field "timeout" is absent`)
+	case r.Tenant < 0 && len(names.Tenants) > 0:
+		return nil, errors.New(`frame: field "owner" is absent`)
+	case names.Keyed[r.Class] && r.Key == "":
+		return nil, errors.New(`frame: field "opkey" is absent`)
+	}
+	if !names.Keyed[r.Class] {
+		r.Key = ""
+	}
+	r.Write = names.Keyed[r.Class]
+	r.Tenant = max(r.Tenant, 0)
+	r.Due = r.Arrived + timeout*1000
+	r.Body = append([]byte(nil), body...)
+	return r, nil
+}
+
+func hex16(b []byte) bool {
+	if len(b) != 16 {
+		return false
+	}
+	_, err := strconv.ParseUint(string(b), 16, 64)
+	return err == nil
+}
+
+// subject takes 16 hex digits as they are; any other name is hashed (FNV-1a).
+func subject(b []byte) (uint64, bool) {
+	if v, err := strconv.ParseUint(string(b), 16, 64); err == nil && len(b) == 16 {
+		return v, true
+	}
+	h := uint64(14695981039346656037)
+	for _, c := range b {
+		h = (h ^ uint64(c)) * 1099511628211
+	}
+	return h, len(b) > 0 && len(b) <= maxKey
+}
+
+func whole(b []byte, most int64) (int64, bool) {
+	v, err := strconv.ParseInt(string(b), 10, 64)
+	return v, err == nil && v >= 0 && v <= most
+}
+
+func decimal(b []byte, least, most float64) (float64, bool) {
+	v, err := strconv.ParseFloat(string(b), 64)
+	return v, err == nil && v >= least && v <= most
+}
+
+// AppendRequest appends a whole request frame, as a caller writes it.
+func AppendRequest(b []byte, stream uint32, fields []Field, body []byte) []byte {
+	at := len(b)
+	b = AppendHead(b, Request, stream, 0)
+	b = append(AppendFields(b, fields), body...)
+	binary.BigEndian.PutUint32(b[at:], uint32(len(b)-at-4))
+	return b
+}
--- /dev/null
+++ b/internal/registry/registry.go
@@ -0,0 +1,43 @@
+// Package registry reports this server to the registry, where callers learn of it.
+package registry
+
+import (
+	"fmt"
+	"net"
+)
+
+// Beacon sends reports. A report gets no answer and may be lost.
+type Beacon struct {
+	conn net.Conn
+	name string
+}
+
+// Interval is the time between reports in microseconds: the registry drops a
+// server 3 s after its last one.
+const Interval = 1_000_000
+
+// Dial returns a Beacon for the server named, to the registry at address.
+func Dial(address, name string) (*Beacon, error) {
+	conn, err := net.Dial("udp", address)
+	if err != nil {
+		return nil, fmt.Errorf("registry: %w", err)
+	}
+	return &Beacon{conn: conn, name: name}, nil
+}
+
+// Report sends the state: ready, or draining. An error says that the system
+// refused the datagram; the next report may pass.
+func (b *Beacon) Report(draining bool) error {
+	state := "ready"
+	if draining {
+		state = "draining"
+	}
+	_, err := b.conn.Write(Datagram(b.name, state))
+	return err
+}
+
+// Datagram is one report.
+func Datagram(name, state string) []byte { return []byte("BEAT " + name + " " + state) }
+
+// Close frees the socket.
+func (b *Beacon) Close() error { return b.conn.Close() }
--- /dev/null
+++ b/internal/server/server.go
@@ -0,0 +1,477 @@
+// Package server ties the core to the network: one gnet event loop that reads
+// the callers' connections and the engine's link, hands what is ready to the
+// core once a round, and writes what came back. All state belongs to the loop;
+// goroutines beside it only wait (for connections, a dial, a signal) and pass
+// what came to the loop.
+package server
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
+
+	"kiteslip"
+	"kiteslip/internal/config"
+	"kiteslip/internal/core"
+	"kiteslip/internal/engine"
+	"kiteslip/internal/frame"
+	"kiteslip/internal/registry"
+	"kiteslip/internal/wire"
+)
+
+const (
+	spareSockets  = 64         // descriptors kept for the loop, the engine, the registry and accepting
+	readBuffer    = 64 << 10   // of the loop, shared by all connections
+	outMost       = 256 << 10  // what a slow reader may leave unread before its connection is closed
+	iovMost       = 512        // slices of one gathered write, under the system's 1,024
+	redial        = 50_000     // between tries to reach the engine
+	gaugeEvery    = 10_000     // between two questions for the gauges while requests are in hand
+	lingerClose   = 250_000    // from GOAWAY to the exit: what crosses it comes within 50 ms
+	answerTime    = 1_450_000  // kept for answers between GOAWAY and the stop
+	exitMargin    = 150_000    // the process is gone this long before the stop, whatever is left
+	heldDivisor   = 8          // part of the memory that half-read frames may take
+	bigBuffer     = 16 << 10   // ... above which a connection that holds more is closed
+	statusSeconds = 10_000_000 // between two lines of totals in the log
+)
+
+// handler is what a connection's bytes are given to.
+type handler interface {
+	opened(c gnet.Conn)
+	feed(b []byte) (int, error) // returns how many bytes were used
+	closed()
+	flush()
+}
+
+// Server is one real server.
+type Server struct {
+	gnet.BuiltinEventEngine
+	cfg    *config.Config
+	log    *zap.Logger
+	core   *core.Core
+	link   *engine.Link
+	beacon *registry.Beacon
+	names  *frame.Names
+	client *gnet.Client
+	loop   gnet.EventLoop
+	done   chan error // the end of the run
+
+	listeners []net.Listener
+	slots     chan struct{} // one for each connection that may be open
+	sessions  map[handler]struct{}
+	buffered  int // bytes of half-read frames, over all connections
+
+	dirty     []handler
+	scheduled bool
+	timer     *time.Timer
+	timerAt   int64
+	statAt    int64
+	reportAt  int64
+	logAt     int64
+	stopAt    int64 // when the process is killed; 0 = no notice yet
+	awayAt    int64 // when connections are told to go
+	away      bool
+	stopping  atomic.Bool // listeners are closed on purpose
+	over      atomic.Bool // the run has ended
+
+	checks  map[string]*session // deep health checks that wait for the engine
+	checkID int
+}
+
+// now is the system's Unix clock in microseconds.
+func now() int64 { return time.Now().UnixMicro() }
+
+// New prepares a server; nothing listens until Run.
+func New(cfg *config.Config, log *zap.Logger) (*Server, error) {
+	s := &Server{
+		cfg: cfg, log: log, done: make(chan error, 1),
+		sessions: map[handler]struct{}{}, checks: map[string]*session{},
+		slots: make(chan struct{}, max(8, cfg.Limits.Sockets-spareSockets)),
+		names: &frame.Names{Classes: map[string]int{}, Tenants: map[string]int{}},
+	}
+	safe := make([]bool, len(cfg.Classes))
+	for i, class := range cfg.Classes {
+		s.names.Classes[class] = i
+		effect := cfg.Module.Classes[i].Effect
+		s.names.Keyed = append(s.names.Keyed, effect == kiteslip.Keyed)
+		safe[i] = effect == kiteslip.Repeatable
+	}
+	for i, tenant := range cfg.Tenants {
+		s.names.Tenants[tenant] = i
+	}
+	s.link = engine.NewLink(s, cfg.Classes, safe)
+	var err error
+	s.core, err = core.New(core.Settings{
+		Module: cfg.Module, Seed: cfg.Seed,
+		Log: func(line string) { log.Info("module", zap.String("says", line)) },
+	}, s.link)
+	return s, err
+}
+
+// Run serves until the drain is over or something that it cannot do without fails.
+func (s *Server) Run(signals <-chan os.Signal) error {
+	var err error
+	if s.client, err = gnet.NewClient(s, gnet.WithReadBufferCap(readBuffer), gnet.WithTCPNoDelay(gnet.TCPNoDelay),
+		gnet.WithLogger(s.log.Sugar())); err != nil {
+		return err
+	}
+	if err = s.client.Start(); err != nil {
+		return err
+	}
+	defer s.client.Stop() //nolint:errcheck // nothing is left to be done about it
+	if err = s.findLoop(); err != nil {
+		return err
+	}
+	if s.cfg.Registry != "" {
+		if s.beacon, err = registry.Dial(s.cfg.Registry, s.cfg.Name); err != nil {
+			return err
+		}
+		defer s.beacon.Close()
+	}
+	listener, err := net.Listen("tcp", s.cfg.Listen)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	s.listeners = append(s.listeners, listener)
+	s.onLoop(func() {
+		s.timer = time.AfterFunc(time.Hour, func() { s.onLoop(s.round) })
+		s.round()
+	})
+	go s.dial()
+	go s.accept(listener, func() handler { return newSession(s) })
+	s.log.Info("serving", zap.String("name", s.cfg.Name), zap.String("listen", s.cfg.Listen))
+	for {
+		select {
+		case sig := <-signals:
+			s.onLoop(func() { s.drain(sig.String()) })
+		case err := <-s.done:
+			return err
+		}
+	}
+}
+
+// findLoop enrols one end of a socket pair: gnet hands out its loop only with a connection.
+func (s *Server) findLoop() error {
+	pair, err := unix.Socketpair(unix.AF_UNIX, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return fmt.Errorf("socket pair: %w", err)
+	}
+	file := os.NewFile(uintptr(pair[0]), "loop")
+	defer file.Close()
+	c, err := net.FileConn(file)
+	if err != nil {
+		return fmt.Errorf("socket pair: %w", err)
+	}
+	gc, err := s.client.Enroll(c)
+	if err != nil {
+		return fmt.Errorf("socket pair: %w", err)
+	}
+	s.loop = gc.EventLoop()
+	return nil
+}
+
+// onLoop runs f on the loop, after what is under way there.
+func (s *Server) onLoop(f func()) {
+	if err := s.loop.Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
+		f()
+		return nil
+	})); err != nil {
+		s.log.Debug("the loop is closed", zap.Error(err))
+	}
+}
+
+// accept takes connections as long as there is a slot for them.
+func (s *Server) accept(listener net.Listener, session func() handler) {
+	for {
+		s.slots <- struct{}{}
+		c, err := listener.Accept()
+		if err == nil {
+			_, err = s.client.EnrollContext(c, session())
+		} else if s.stopping.Load() {
+			return
+		}
+		if err != nil {
+			<-s.slots
+			s.log.Warn("accept", zap.Error(err))
+			time.Sleep(10 * time.Millisecond) // out of descriptors, most likely
+		}
+	}
+}
+
+// dial reaches for the engine until a link stands.
+func (s *Server) dial() {
+	for !s.over.Load() {
+		c, err := net.Dial("tcp", s.cfg.Engine)
+		if err == nil {
+			if _, err = s.client.EnrollContext(c, &engineConn{s: s}); err == nil {
+				return
+			}
+		}
+		s.log.Debug("engine", zap.Error(err))
+		time.Sleep(redial * time.Microsecond)
+	}
+}
+
+// OnOpen is called by gnet on the loop.
+func (s *Server) OnOpen(c gnet.Conn) ([]byte, gnet.Action) {
+	if h, ok := c.Context().(handler); ok {
+		s.sessions[h] = struct{}{}
+		h.opened(c)
+	}
+	return nil, gnet.None
+}
+
+// OnTraffic is called by gnet on the loop when bytes have come.
+func (s *Server) OnTraffic(c gnet.Conn) gnet.Action {
+	h, ok := c.Context().(handler)
+	if !ok {
+		c.Discard(-1) //nolint:errcheck // the pair carries nothing
+		return gnet.None
+	}
+	b, err := c.Peek(-1)
+	if err != nil {
+		return gnet.Close
+	}
+	n, err := h.feed(b)
+	if n > 0 {
+		c.Discard(n) //nolint:errcheck // it cannot fail within what was read
+	}
+	if err != nil {
+		h.flush()
+		return gnet.Close
+	}
+	s.schedule()
+	return gnet.None
+}
+
+// OnClose is called by gnet on the loop when a connection has ended.
+func (s *Server) OnClose(c gnet.Conn, _ error) gnet.Action {
+	if h, ok := c.Context().(handler); ok {
+		if _, open := s.sessions[h]; open {
+			delete(s.sessions, h)
+			h.closed()
+			s.schedule()
+		}
+	}
+	return gnet.None
+}
+
+// schedule asks for one round after all that is ready has been read. gnet has
+// no hook at the end of a poll; a task queued on the loop runs there.
+func (s *Server) schedule() {
+	if !s.scheduled {
+		s.scheduled = true
+		s.onLoop(s.round)
+	}
+}
+
+// round hands what is ready to the core in one go and carries out what comes back.
+func (s *Server) round() {
+	if s.over.Load() {
+		return
+	}
+	s.scheduled = false
+	t := now()
+	requests, _ := s.core.Held()
+	if requests > 0 && t >= s.statAt {
+		s.statAt = t + gaugeEvery
+		s.link.Stat()
+	}
+	s.core.Step(t)
+	s.flush()
+	s.leave(t)
+	s.report(t)
+	s.arm()
+}
+
+// flush writes all that is ready to go.
+func (s *Server) flush() {
+	for i := 0; i < len(s.dirty); i++ {
+		s.dirty[i].flush()
+	}
+	s.dirty = s.dirty[:0]
+}
+
+// arm sets the timer for the next thing that time brings.
+func (s *Server) arm() {
+	next := s.reportAt
+	if at := s.core.Next(); at != 0 {
+		next = min(next, at)
+	}
+	if s.stopAt != 0 {
+		next = min(next, now()+20_000)
+	}
+	if next != s.timerAt || next <= now() {
+		s.timerAt = next
+		s.timer.Reset(max(time.Duration(next-now())*time.Microsecond, 0))
+	}
+}
+
+// report tells the registry, and now and then the log, how things are.
+func (s *Server) report(t int64) {
+	if t >= s.reportAt {
+		s.reportAt = t + registry.Interval
+		if s.beacon != nil {
+			if err := s.beacon.Report(s.core.Draining()); err != nil {
+				s.log.Debug("registry", zap.Error(err))
+			}
+		}
+	}
+	if t >= s.logAt {
+		s.logAt = t + statusSeconds
+		s.status()
+	}
+}
+
+func (s *Server) status() {
+	n := s.core.Counts()
+	requests, keys := s.core.Held()
+	s.log.Info("totals", zap.Int("read", n.Read), zap.Int("served", n.Served), zap.Int("refused", n.Refused),
+		zap.Int("failed", n.Failed), zap.Int("gone", n.Gone), zap.Int("guarded", n.Guarded),
+		zap.Int("in_hand", requests), zap.Int("keys", keys), zap.Int("connections", len(s.sessions)))
+}
+
+// drain takes in the notice to leave.
+func (s *Server) drain(why string) {
+	if s.stopAt != 0 {
+		return
+	}
+	t := now()
+	s.stopAt = t + s.cfg.Stop
+	s.awayAt = t + max(0, min(s.cfg.Module.DrainGrace, s.cfg.Stop-answerTime))
+	s.log.Info("draining", zap.String("signal", why), zap.Int64("stop_ms", s.cfg.Stop/1000))
+	s.core.Drain(t, s.stopAt)
+	s.reportAt = 0
+	s.round()
+}
+
+// leave ends the process in steps: at first requests still come and are
+// answered, since callers learn late of the drain. Then listeners close,
+// callers are told to go, and the last answers go out.
+func (s *Server) leave(t int64) {
+	if s.stopAt == 0 || t < s.awayAt {
+		return
+	}
+	if !s.away {
+		s.away = true
+		s.stopping.Store(true)
+		for _, listener := range s.listeners {
+			listener.Close()
+		}
+		for h := range s.sessions {
+			if f, ok := h.(*session); ok {
+				f.goAway()
+			}
+		}
+		s.flush()
+	}
+	quiet := t >= s.awayAt+lingerClose && s.core.Owed() == 0 && s.unsent() == 0
+	if quiet || t >= s.stopAt-exitMargin {
+		s.over.Store(true)
+		s.status()
+		var err error
+		if owed := s.core.Owed(); owed > 0 {
+			err = fmt.Errorf("stopped with %d requests unanswered", owed)
+		}
+		s.done <- err
+	}
+}
+
+// unsent is the number of bytes of answers that callers have not taken yet.
+func (s *Server) unsent() int {
+	n := 0
+	for h := range s.sessions {
+		if f, ok := h.(*session); ok {
+			n += f.conn.OutboundBuffered()
+		}
+	}
+	return n
+}
+
+// Hello takes in that the engine is up.
+func (s *Server) Hello(cold bool, up int64) {
+	s.log.Info("engine", zap.Bool("cold", cold), zap.Int64("up_ms", up/1000))
+	s.core.Warmth(cold, now()-up)
+}
+
+// Done takes in the end of a run.
+func (s *Server) Done(r *core.Request, outcome kiteslip.Outcome, elapsed int64, result []byte) {
+	s.core.Done(r, outcome, elapsed, result)
+}
+
+// Stats takes in the gauges.
+func (s *Server) Stats(values []float32) { s.core.Gauges(wire.NameGauges(values, s.cfg.Gauges)) }
+
+// Tested takes in the end of a deep health check's work.
+func (s *Server) Tested(tag string, ok bool) {
+	if f := s.checks[tag]; f != nil {
+		delete(s.checks, tag)
+		f.checked(ok)
+	}
+}
+
+// engineConn is the connection to the engine.
+type engineConn struct {
+	s    *Server
+	conn gnet.Conn
+	out  [][]byte
+}
+
+func (e *engineConn) opened(c gnet.Conn) {
+	e.conn = c
+	e.s.link.Attach(e.send)
+}
+
+func (e *engineConn) feed(b []byte) (int, error) {
+	n, err := e.s.link.Feed(b)
+	if err != nil {
+		e.s.log.Error("engine", zap.Error(err))
+	}
+	return n, err
+}
+
+func (e *engineConn) closed() {
+	e.s.log.Warn("the link to the engine is gone", zap.Int("running", e.s.link.Running()))
+	e.s.link.Lost()
+	for tag := range e.s.checks {
+		e.s.Tested(tag, false)
+	}
+	if !e.s.over.Load() {
+		go e.s.dial()
+	}
+}
+
+func (e *engineConn) send(parts ...[]byte) {
+	if len(e.out) == 0 {
+		e.s.dirty = append(e.s.dirty, e)
+	}
+	e.out = append(e.out, parts...)
+	e.s.schedule()
+}
+
+func (e *engineConn) flush() {
+	e.out = gather(e.conn, e.out)
+}
+
+// gather writes the parts in as few system calls as they fit into, and
+// returns the emptied list for the next ones.
+func gather(c gnet.Conn, parts [][]byte) [][]byte {
+	for rest := parts; len(rest) > 0; {
+		n := min(len(rest), iovMost)
+		if _, err := c.Writev(rest[:n]); err != nil {
+			break // gnet has closed the connection
+		}
+		rest = rest[n:]
+	}
+	clear(parts)
+	return parts[:0]
+}
+
+var errSlow = errors.New("the caller does not take its answers")
--- /dev/null
+++ b/internal/server/session.go
@@ -0,0 +1,238 @@
+package server
+
+import (
+	"errors"
+	"fmt"
+	"strconv"
+
+	"github.com/panjf2000/gnet/v2"
+	"go.uber.org/zap"
+
+	"kiteslip/internal/core"
+	"kiteslip/internal/frame"
+)
+
+// session is one caller's connection on the platform's protocol.
+type session struct {
+	s       *Server
+	conn    gnet.Conn
+	open    map[uint32]*core.Request // by stream, without an answer
+	highest uint32                   // streams up to this were used
+	heads   []byte
+	out     [][]byte
+	away    bool
+	gone    bool
+	held    int    // bytes of a frame that is not whole yet
+	check   uint32 // the stream of a deep health check
+}
+
+func newSession(s *Server) *session {
+	return &session{s: s, open: map[uint32]*core.Request{}}
+}
+
+func (f *session) opened(c gnet.Conn) {
+	f.conn = c
+	if f.s.away {
+		f.goAway() // it was accepted while the listener closed
+	}
+}
+
+func (f *session) closed() {
+	f.gone = true
+	f.s.buffered -= f.held
+	<-f.s.slots
+	for _, r := range f.open {
+		f.s.core.Gone(r)
+	}
+	clear(f.open)
+	for tag, other := range f.s.checks {
+		if other == f {
+			delete(f.s.checks, tag)
+		}
+	}
+}
+
+// feed takes in all whole frames of b.
+func (f *session) feed(b []byte) (int, error) {
+	used := 0
+	for {
+		fr, n, err := frame.Split(b[used:])
+		if err == nil && n > 0 {
+			used += n
+			err = f.take(&fr)
+		}
+		if err != nil {
+			// What follows cannot be told apart any more: say so and close.
+			f.fault(0, err)
+			return used, err
+		}
+		if n == 0 {
+			return used, f.hold(len(b) - used)
+		}
+	}
+}
+
+// hold books the bytes of a half-read frame. Guards against callers that
+// leave large frames half sent on many connections until the memory is gone.
+func (f *session) hold(n int) error {
+	f.s.buffered += n - f.held
+	f.held = n
+	if n > bigBuffer && f.s.buffered > f.s.cfg.Limits.MemoryMB<<20/heldDivisor {
+		return errors.New("too many half-sent frames")
+	}
+	return nil
+}
+
+var errStream = errors.New("stream 0 carries no request")
+
+func (f *session) take(fr *frame.Frame) error {
+	switch fr.Type {
+	case frame.Request:
+		if fr.Stream == 0 {
+			return errStream
+		}
+		f.request(fr)
+	case frame.Cancel:
+		if r := f.open[fr.Stream]; r != nil {
+			delete(f.open, fr.Stream)
+			f.s.core.Gone(r)
+		}
+	case frame.Check:
+		return f.health(fr)
+	default:
+		return fmt.Errorf("a frame of type %d, which callers do not send", fr.Type)
+	}
+	return nil
+}
+
+// request takes in one request, or answers why it cannot.
+func (f *session) request(fr *frame.Frame) {
+	// Guards against a second answer on one stream: the caller could not tell which request it is for.
+	if fr.Stream <= f.highest {
+		f.fault(0, fmt.Errorf("stream %d was used before", fr.Stream))
+		return
+	}
+	f.highest = fr.Stream
+	r, err := frame.ParseRequest(fr.Payload, f.s.names)
+	if err != nil {
+		f.fault(fr.Stream, err)
+		return
+	}
+	if len(f.open) >= frame.MaxStreams {
+		f.put(frame.Answer, fr.Stream, frame.Refused, nil, nil)
+		return
+	}
+	r.Stream, r.From = fr.Stream, f
+	if err := f.s.core.Arrive(now(), r); err != nil {
+		f.fault(fr.Stream, err)
+		return
+	}
+	f.open[fr.Stream] = r
+}
+
+// fault answers what cannot be read.
+func (f *session) fault(stream uint32, err error) {
+	f.s.log.Debug("bad request", zap.Uint32("stream", stream), zap.Error(err))
+	f.put(frame.Answer, stream, frame.Failed, nil, []byte(err.Error()))
+}
+
+// Answer writes the final answer of the request on stream.
+func (f *session) Answer(stream uint32, a core.Answer) {
+	delete(f.open, stream)
+	if f.gone {
+		return
+	}
+	switch a.Code {
+	case core.Served:
+		f.put(frame.Answer, stream, frame.Served, nil, a.Result)
+	case core.Refused:
+		var fields []frame.Field
+		if a.HoldOff > 0 {
+			fields = append(fields, frame.Field{Name: "holdoff", Value: strconv.FormatInt((a.HoldOff+999)/1000, 10)})
+		}
+		if a.NoMore {
+			fields = append(fields, frame.Field{Name: "nomore", Value: "1"})
+		}
+		f.put(frame.Answer, stream, frame.Refused, fields, nil)
+	default:
+		f.put(frame.Answer, stream, frame.Failed, nil, nil)
+	}
+}
+
+// health answers a check: as stored, or once the engine has done some work.
+func (f *session) health(fr *frame.Frame) error {
+	fields, _, err := frame.ParseFields(fr.Payload)
+	if err != nil {
+		return err
+	}
+	deep := false
+	for name, value := range fields.All {
+		deep = deep || string(name) == "real" && string(value) == "1"
+	}
+	good, stored := f.s.core.Health()
+	if !deep || stored || !good {
+		f.verdict(fr.Stream, good)
+		return nil
+	}
+	f.s.checkID++
+	tag := strconv.Itoa(f.s.checkID)
+	f.check = fr.Stream
+	if !f.s.link.Test(tag) {
+		f.verdict(fr.Stream, false)
+		return nil
+	}
+	f.s.checks[tag] = f
+	return nil
+}
+
+// checked takes in the end of a deep check's work.
+func (f *session) checked(ok bool) {
+	good, _ := f.s.core.Health()
+	f.verdict(f.check, ok && good)
+}
+
+func (f *session) verdict(stream uint32, good bool) {
+	code := byte(frame.Bad)
+	if good {
+		code = frame.Good
+	}
+	f.put(frame.Checked, stream, code, nil, nil)
+}
+
+// goAway asks the caller for no new request on this connection.
+func (f *session) goAway() {
+	if !f.away {
+		f.away = true
+		f.write(frame.AppendHead(nil, frame.GoAway, 0, 0))
+	}
+}
+
+// put queues one answer: its head, written in one piece, and its body as it is.
+func (f *session) put(kind byte, stream uint32, code byte, fields []frame.Field, body []byte) {
+	at := len(f.heads)
+	f.heads = frame.AppendAnswer(f.heads, kind, stream, code, fields, len(body))
+	f.write(f.heads[at:len(f.heads):len(f.heads)])
+	if len(body) > 0 {
+		f.out = append(f.out, body)
+	}
+}
+
+func (f *session) write(part []byte) {
+	if len(f.out) == 0 {
+		f.s.dirty = append(f.s.dirty, f)
+	}
+	f.out = append(f.out, part)
+	f.s.schedule()
+}
+
+func (f *session) flush() {
+	if f.gone || len(f.out) == 0 {
+		return
+	}
+	f.out = gather(f.conn, f.out)
+	f.heads = f.heads[:0]
+	if !f.gone && f.conn.OutboundBuffered() > outMost {
+		f.s.log.Warn("closing", zap.Error(errSlow))
+		f.conn.EventLoop().Close(f.conn) //nolint:errcheck // it is gone either way
+	}
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -186,12 +186,21 @@
 
 // ReadGauges turns the raw readings of a timer record into Gauges, by their names.
 func ReadGauges(raw []byte, names []string) kiteslip.Gauges {
+	values := make([]float32, 0, 8)
+	for ; len(raw) >= 4; raw = raw[4:] {
+		values = append(values, math.Float32frombits(binary.LittleEndian.Uint32(raw)))
+	}
+	return NameGauges(values, names)
+}
+
+// NameGauges sorts readings by the names that the settings give to their places.
+func NameGauges(values []float32, names []string) kiteslip.Gauges {
 	g := kiteslip.Gauges{}
 	for i, name := range names {
-		if 4*i+4 > len(raw) {
+		if i >= len(values) {
 			break
 		}
-		v := math.Float32frombits(binary.LittleEndian.Uint32(raw[4*i:]))
+		v := values[i]
 		g.Set = true
 		switch name {
 		case "cpu_busy":
--- a/policy.go
+++ b/policy.go
@@ -130,7 +130,7 @@
 	gauges                        Gauges
 	arrivals, failing             float64 // arrivals and the share of failed runs, with a fading memory
 	refused                       float64 // the share of refused arrivals, of late
-	healthy, overdue              bool
+	begun, healthy, overdue       bool
 	closing, storm                bool // connections are closed early; most is refused, and late to be read
 	shared, callsFull             bool // all workers share what lies below; calls wait for room there
 	heavy                         int  // runs of many times the usual work
@@ -174,8 +174,11 @@
 
 // Step takes in one batch of events at time now and appends what is to be done.
 func (w *Worker) Step(now int64, events []Event, acts []Action) []Action {
-	if w.born < 0 {
-		w.born, w.last, w.progress = now, now, now
+	if !w.begun {
+		w.begun, w.last, w.progress = true, now, now
+		if w.born < 0 {
+			w.born = now
+		}
 		acts = append(acts, Action{Kind: Health, On: true, Stored: true})
 	}
 	w.advance(now)
--- a/state.go
+++ b/state.go
@@ -46,6 +46,12 @@
 	}
 }
 
+// Warmth tells when the cores came up, and whether they were cold then, to a
+// worker whose host learns it only after the start.
+func (w *Worker) Warmth(cold bool, since int64) {
+	w.set.JustStarted, w.born = cold, max(since, 0)
+}
+
 // find returns the request of that id, or nil.
 func (w *Worker) find(id RequestID) *request {
 	if i, ok := w.at[id]; ok {
