Add the uwsgi front and calls, the operator's file, and a model of the core

The front takes one request a connection (variables, body by CONTENT_LENGTH), enters it in the same core, and maps answers to HTTP. Classes of a service with a backend are run by that uwsgi server, others by the engine. The operator's file is translated into the module's settings.

Seen: the model of the core failed on its first run: a safe request that was running was answered as refused. Core.giveUp now turns such a refusal into a failure; the rule is not the module's to know, so the module stays as it is. TestNoRefusalAfterRun fails without the change.

--- a/cmd/kiteslip/main.go
+++ b/cmd/kiteslip/main.go
@@ -28,15 +28,35 @@
 }
 
 type serveCmd struct {
+	operatorFlag
 	LogLevel string `enum:"debug,info,warn,error" default:"info" env:"KITESLIP_LOG" help:"The least level that is logged: ${enum}."`
 }
 
+type operatorFlag struct {
+	Operator string `type:"path" env:"KITESLIP_OPERATOR" help:"The operator's file: the uwsgi front, contracts and budgets."`
+}
+
+// load reads what the platform gives, the operator's file, or one over the other.
+func load(operator string) (*config.Config, error) {
+	if operator == "" {
+		return config.Load(os.Getenv)
+	}
+	var platform *config.Config
+	if os.Getenv(config.EnvConfig) != "" {
+		var err error
+		if platform, err = config.Load(os.Getenv); err != nil {
+			return nil, err
+		}
+	}
+	return config.LoadOperator(operator, platform)
+}
+
 // memoryShare is the part of the memory limit that the Go heap may fill
 // before the collector works harder; the rest is for stacks and the system.
 const memoryShare = 0.8
 
 func (c *serveCmd) Run() error {
-	cfg, err := config.Load(os.Getenv)
+	cfg, err := load(c.Operator)
 	if err != nil {
 		return err
 	}
@@ -53,7 +73,7 @@
 	if err != nil {
 		return err
 	}
-	return s.Run(signals)
+	return s.Serve(signals)
 }
 
 func logger(level string) (*zap.Logger, error) {
@@ -67,10 +87,10 @@
 	return zc.Build()
 }
 
-type checkCmd struct{}
+type checkCmd struct{ operatorFlag }
 
 func (c *checkCmd) Run() error {
-	cfg, err := config.Load(os.Getenv)
+	cfg, err := load(c.Operator)
 	if err != nil {
 		return err
 	}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -6,11 +6,11 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net"
 	"os"
 	"strconv"
 
 	"kiteslip"
+	"kiteslip/internal/uwsgi"
 	"kiteslip/internal/wire"
 )
 
@@ -41,6 +41,17 @@
 	Gauges   []string
 	Classes  []string
 	Tenants  []string
+
+	UWSGI      UWSGI
+	Backends   []string // by class: the uwsgi server that does the work; "" = the engine
+	MaxResults []int    // by class, bytes
+}
+
+// UWSGI is the set-up of the second front.
+type UWSGI struct {
+	Listen     string // "" = off
+	ReadWithin int64  // microseconds
+	Contracts  []uwsgi.Contract
 }
 
 // raw mirrors the file that EDGE_CONFIG names.
@@ -119,9 +130,7 @@
 			}
 			return
 		}
-		if _, _, err := net.SplitHostPort(value); err != nil {
-			fail(key, "is %q, want host:port", value)
-		}
+		checkAddress(fail, key, value)
 	}
 	address("listen", c.Listen, true)
 	address("engine", c.Engine, true)
@@ -203,6 +212,7 @@
 		seen[tenant.Name] = true
 		c.Tenants = append(c.Tenants, tenant.Name)
 	}
+	c.fronts()
 	return nil
 }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -28,9 +28,19 @@
 	Result  []byte // Served: what the run made, unchanged
 	HoldOff int64  // Refused: the caller should stay away this long; 0 = no advice
 	NoMore  bool   // Refused: the caller should try no other server
-	Overdue bool   // Failed: the due time has come, and the run has not ended
+	Cause   Cause  // Failed: why
 }
 
+// Cause says why a request failed.
+type Cause uint8
+
+// The causes.
+const (
+	GivenUp   Cause = iota // the module gave it up
+	Overdue                // its due time has come
+	RunFailed              // its run ended in an error
+)
+
 // Answerer takes the one final answer of a request. The stream tells apart
 // the requests of one caller's connection.
 type Answerer interface {
@@ -257,7 +267,7 @@
 		case kiteslip.Moot:
 			c.answer(r, Answer{Code: Refused})
 		default:
-			c.answer(r, Answer{Code: Failed})
+			c.answer(r, Answer{Code: Failed, Cause: RunFailed})
 		}
 	}
 	c.events = append(c.events, kiteslip.Event{Kind: kiteslip.Done, ID: r.id, Outcome: r.outcome, Elapsed: elapsed})
@@ -372,16 +382,9 @@
 	switch a.Kind {
 	case kiteslip.Run:
 		c.run(now, r)
-	case kiteslip.Refuse:
+	case kiteslip.Refuse, kiteslip.Fail:
 		if !r.answered {
-			c.answer(r, Answer{Code: Refused, HoldOff: a.After, NoMore: a.On})
-		}
-		if r.phase != running {
-			c.drop(r)
-		}
-	case kiteslip.Fail:
-		if !r.answered {
-			c.answer(r, Answer{Code: Failed, Overdue: r.phase == running && now >= r.Due-c.slack()})
+			c.answer(r, c.giveUp(now, r, a))
 		}
 		if r.phase != running {
 			c.drop(r)
@@ -402,7 +405,20 @@
 	}
 }
 
-// slack is how near to its due time the module gives up a run.
+// giveUp words the answer for what the module has given up. Guards the
+// meaning of a refusal: the module refuses a safe request that runs, but
+// callers are promised that what is refused never ran, so that one fails.
+func (c *Core) giveUp(now int64, r *Request, a *kiteslip.Action) Answer {
+	if a.Kind == kiteslip.Refuse && r.phase == held {
+		return Answer{Code: Refused, HoldOff: a.After, NoMore: a.On}
+	}
+	if now >= r.Due-c.slack() {
+		return Answer{Code: Failed, Cause: Overdue}
+	}
+	return Answer{Code: Failed, Cause: GivenUp}
+}
+
+// slack is how near to its due time the module gives up what it cannot wait for.
 func (c *Core) slack() int64 { return 2*c.set.Module.Tick + 50_000 }
 
 // run starts r unless a rule forbids it.
@@ -538,7 +554,7 @@
 		if r.phase == held {
 			c.answer(r, Answer{Code: Refused})
 		} else {
-			c.answer(r, Answer{Code: Failed, Overdue: true})
+			c.answer(r, Answer{Code: Failed, Cause: Overdue})
 		}
 		c.events = append(c.events, kiteslip.Event{Kind: kiteslip.Gone, ID: r.id})
 		if r.phase != running {
--- /dev/null
+++ b/internal/core/core_test.go
@@ -0,0 +1,296 @@
+package core
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"kiteslip"
+)
+
+// site is a small site: a read, and a keyed class with a window of 3 s.
+func site() kiteslip.Settings {
+	return kiteslip.Settings{
+		Cores: 2, MemoryKB: 4000, RunFactor: 4, KeyKB: 20, Tick: 4000, MaxRetryAfter: 1_000_000,
+		DrainGrace: 2_000_000, AnswerSlack: 60_000, CrowdMultiple: 8, CrowdOver: 1_500_000,
+		Classes: []kiteslip.Class{
+			{Effect: kiteslip.Repeatable, Aim: 500_000, Limit: 1_500_000, Worth: 1},
+			{Effect: kiteslip.Keyed, Aim: 500_000, Limit: 1_500_000, Worth: 4, Window: 3_000_000},
+		},
+	}
+}
+
+// book is the model: what the rules allow, kept beside the Core.
+type book struct {
+	t       failer
+	core    *Core
+	now     int64
+	sent    []*Request
+	running []*Request
+	ran     map[*Request]bool
+	answers map[*Request][]Answer
+	gone    map[*Request]bool
+	lastRun map[string]*Request // by key
+	drained int64
+}
+
+type failer interface{ Fatalf(string, ...any) }
+
+func newBook(t failer) *book {
+	b := &book{t: t, now: 1_000_000_000, ran: map[*Request]bool{}, answers: map[*Request][]Answer{},
+		gone: map[*Request]bool{}, lastRun: map[string]*Request{}}
+	var err error
+	if b.core, err = New(Settings{Module: site(), Seed: 7}, b); err != nil {
+		t.Fatalf("%v", err)
+	}
+	b.core.Step(b.now)
+	return b
+}
+
+// Run checks each start against the rules on keys and drains.
+func (b *book) Run(r *Request) {
+	if b.ran[r] || len(b.answers[r]) > 0 {
+		b.t.Fatalf("%s starts though it ran or was answered", r.Name)
+	}
+	b.ran[r] = true
+	b.running = append(b.running, r)
+	if b.drained != 0 && r.Arrived > b.drained+site().DrainGrace {
+		b.t.Fatalf("%s starts, %d us after the notice to leave", r.Name, r.Arrived-b.drained)
+	}
+	if r.Key != "" {
+		if o := b.lastRun[r.Key]; o != nil && r.Arrived <= o.Arrived+site().Classes[1].Window+50_000 {
+			b.t.Fatalf("%s runs within the window of %s", r.Name, o.Name)
+		}
+		b.lastRun[r.Key] = r
+	}
+}
+
+// caller takes the answers of one request.
+type caller struct {
+	b *book
+	r *Request
+}
+
+func (c caller) Answer(_ uint32, a Answer) {
+	b, r := c.b, c.r
+	if b.answers[r] = append(b.answers[r], a); len(b.answers[r]) > 1 || b.gone[r] {
+		b.t.Fatalf("%s: a second answer, or one that nobody waits for: %+v", r.Name, b.answers[r])
+	}
+	switch {
+	case a.Code == Refused && b.ran[r]:
+		b.t.Fatalf("%s was run and is refused", r.Name)
+	case a.Code == Served && string(a.Result) != "of "+string(r.Body) && r.Key == "":
+		b.t.Fatalf("%s is served with %q", r.Name, a.Result)
+	case a.Code == Served && r.Key != "" && string(a.Result) != "of "+r.Key:
+		b.t.Fatalf("%s is served with %q", r.Name, a.Result)
+	}
+}
+
+func (b *book) arrive(class int, key string, late, patience int64) *Request {
+	name := fmt.Sprintf("%016x", len(b.sent)+1)
+	r := &Request{Name: name, Class: class, Key: key, Arrived: b.now - late, Due: b.now - late + patience,
+		SizeKB: 20, Body: []byte(name)}
+	if key != "" {
+		r.Body = []byte(key)
+	}
+	r.From = caller{b, r}
+	if err := b.core.Arrive(b.now, r); err != nil {
+		b.t.Fatalf("%v", err)
+	}
+	b.sent = append(b.sent, r)
+	return r
+}
+
+func (b *book) finish(i int, outcome kiteslip.Outcome) {
+	r := b.running[i]
+	b.running = append(b.running[:i], b.running[i+1:]...)
+	if outcome == kiteslip.Moot {
+		b.ran[r] = false
+		if b.lastRun[r.Key] == r {
+			delete(b.lastRun, r.Key)
+		}
+	}
+	b.core.Done(r, outcome, 1000, []byte("of "+string(r.Body)))
+}
+
+// pass lets time go by as the server's loop does, with a Step at each timer.
+func (b *book) pass(span int64) {
+	for end := b.now + span; ; {
+		b.core.Step(b.now)
+		next := b.core.Next()
+		if next == 0 || next >= end {
+			b.now = end
+			b.core.Step(b.now)
+			break
+		}
+		b.now = max(next, b.now+1)
+	}
+	for _, r := range b.sent {
+		if b.now > r.Due+60_000 && len(b.answers[r]) == 0 && !b.gone[r] {
+			b.t.Fatalf("%s has no answer %d us past its due time", r.Name, b.now-r.Due)
+		}
+	}
+}
+
+func TestRulesHold(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := newBook(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"arrive": func(t *rapid.T) {
+				for range rapid.IntRange(1, 6).Draw(t, "many") {
+					class := rapid.IntRange(0, 1).Draw(t, "class")
+					key := ""
+					if class == 1 {
+						key = rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "key")
+					}
+					b.arrive(class, key, rapid.Int64Range(0, 300_000).Draw(t, "late"), rapid.Int64Range(0, 1_500_000).Draw(t, "patience"))
+				}
+			},
+			"end": func(t *rapid.T) {
+				if len(b.running) == 0 {
+					t.Skip("nothing runs")
+				}
+				b.finish(rapid.IntRange(0, len(b.running)-1).Draw(t, "which"),
+					rapid.SampledFrom([]kiteslip.Outcome{kiteslip.OK, kiteslip.OK, kiteslip.Failed, kiteslip.Moot}).Draw(t, "how"))
+			},
+			"gone": func(t *rapid.T) {
+				if len(b.sent) == 0 {
+					t.Skip("nothing was sent")
+				}
+				r := rapid.SampledFrom(b.sent).Draw(t, "who")
+				if len(b.answers[r]) == 0 {
+					b.gone[r] = true
+				}
+				b.core.Gone(r)
+			},
+			"pass": func(t *rapid.T) { b.pass(rapid.Int64Range(1, 900_000).Draw(t, "span")) },
+			"drain": func(t *rapid.T) {
+				if b.drained != 0 || rapid.IntRange(0, 4).Draw(t, "rare") > 0 {
+					t.Skip("once, and seldom")
+				}
+				b.drained = b.now
+				b.core.Drain(b.now, b.now+3_500_000)
+			},
+		})
+		b.pass(2_000_000)
+		if b.core.Owed() != 0 {
+			t.Fatalf("%d requests are owed an answer", b.core.Owed())
+		}
+		for len(b.running) > 0 {
+			b.finish(0, kiteslip.OK)
+		}
+		b.pass(8_000_000) // all windows close
+		if requests, keys := b.core.Held(); requests != 0 || keys != 0 {
+			t.Fatalf("%d requests and %d keys are left", requests, keys)
+		}
+	})
+}
+
+// one returns the only answer of r.
+func (b *book) one(r *Request) Answer {
+	if len(b.answers[r]) != 1 {
+		b.t.Fatalf("%s has answers %+v, want one", r.Name, b.answers[r])
+	}
+	return b.answers[r][0]
+}
+
+func TestLaterTryTakesResult(t *testing.T) {
+	b := newBook(t)
+	first := b.arrive(1, "k", 0, 1_500_000)
+	twin := b.arrive(1, "k", 0, 1_500_000) // in the same batch
+	b.pass(10_000)
+	during := b.arrive(1, "k", 0, 1_500_000)
+	b.pass(10_000)
+	if len(b.running) != 1 || b.running[0] != first {
+		t.Fatalf("%d run, want the first alone", len(b.running))
+	}
+	b.finish(0, kiteslip.OK)
+	b.pass(10_000)
+	after := b.arrive(1, "k", 0, 1_500_000)
+	b.pass(10_000)
+	for _, r := range []*Request{first, twin, during, after} {
+		if a := b.one(r); a.Code != Served || string(a.Result) != "of k" {
+			t.Errorf("%s: %+v", r.Name, a)
+		}
+	}
+	b.pass(3_200_000) // past the window
+	again := b.arrive(1, "k", 0, 1_500_000)
+	b.pass(10_000)
+	if !b.ran[again] {
+		t.Error("after the window the key does not run anew")
+	}
+}
+
+// A caller that leaves does not undo the run: the next try takes the result.
+func TestResultOutlivesCaller(t *testing.T) {
+	b := newBook(t)
+	first := b.arrive(1, "k", 0, 1_500_000)
+	b.pass(10_000)
+	b.gone[first] = true
+	b.core.Gone(first)
+	next := b.arrive(1, "k", 0, 1_500_000)
+	b.pass(10_000)
+	b.finish(0, kiteslip.OK)
+	b.pass(10_000)
+	if a := b.one(next); a.Code != Served || b.ran[next] {
+		t.Errorf("%+v, ran %v", a, b.ran[next])
+	}
+}
+
+// What the module gives up is answered in the same step, with the advice.
+func TestRefusalIsImmediate(t *testing.T) {
+	b := newBook(t)
+	for range 400 { // twice the memory
+		b.arrive(0, "", 0, 1_500_000)
+	}
+	b.core.Step(b.now)
+	refused := 0
+	for _, answers := range b.answers {
+		if refused++; answers[0].Code != Refused || answers[0].HoldOff <= 0 {
+			t.Errorf("%+v, want a refusal with advice", answers[0])
+		}
+	}
+	if refused < 200 {
+		t.Errorf("%d of 400 are refused in the step that read them, want 200 at least", refused)
+	}
+}
+
+// A safe request that runs is failed when it is given up, never refused.
+func TestNoRefusalAfterRun(t *testing.T) {
+	b := newBook(t)
+	r := b.arrive(0, "", 0, 300_000)
+	b.pass(400_000)
+	if a := b.one(r); !b.ran[r] || a.Code != Failed || a.Cause != Overdue {
+		t.Errorf("ran %v, %+v, want a failure", b.ran[r], a)
+	}
+}
+
+func TestOverdueArrival(t *testing.T) {
+	b := newBook(t)
+	r := b.arrive(0, "", 2_000_000, 1_000_000)
+	b.core.Step(b.now)
+	if a := b.one(r); a.Code == Served || b.ran[r] {
+		t.Errorf("%+v, ran %v", a, b.ran[r])
+	}
+}
+
+func TestRunPastDue(t *testing.T) {
+	b := newBook(t)
+	r := b.arrive(1, "k", 0, 400_000)
+	b.pass(500_000)
+	if a := b.one(r); a.Code != Failed || a.Cause != Overdue {
+		t.Errorf("%+v, want overdue", a)
+	}
+}
+
+func TestArriveErrors(t *testing.T) {
+	b := newBook(t)
+	r := b.arrive(0, "", 0, 1_000_000)
+	if err := b.core.Arrive(b.now, &Request{Name: r.Name, Due: b.now + 1_000_000, From: caller{b, r}}); err == nil {
+		t.Error("a second request of one name was taken")
+	}
+	if err := b.core.Arrive(b.now, &Request{Name: "x", Class: 1, Due: b.now + 1_000_000}); err == nil {
+		t.Error("a keyed request without a key was taken")
+	}
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -24,6 +24,7 @@
 	"kiteslip/internal/engine"
 	"kiteslip/internal/frame"
 	"kiteslip/internal/registry"
+	"kiteslip/internal/uwsgi"
 	"kiteslip/internal/wire"
 )
 
@@ -39,6 +40,7 @@
 	exitMargin    = 150_000    // the process is gone this long before the stop, whatever is left
 	heldDivisor   = 8          // part of the memory that half-read frames may take
 	bigBuffer     = 16 << 10   // ... above which a connection that holds more is closed
+	expireEvery   = 20_000     // between two looks for what has run out of time
 	statusSeconds = 10_000_000 // between two lines of totals in the log
 )
 
@@ -63,7 +65,7 @@
 	loop   gnet.EventLoop
 	done   chan error // the end of the run
 
-	listeners []net.Listener
+	listeners []front
 	slots     chan struct{} // one for each connection that may be open
 	sessions  map[handler]struct{}
 	buffered  int // bytes of half-read frames, over all connections
@@ -81,6 +83,13 @@
 	stopping  atomic.Bool // listeners are closed on purpose
 	over      atomic.Bool // the run has ended
 
+	book     *uwsgi.Book
+	backends map[*backendConn]struct{}
+	calls    int    // backends that may be called at once
+	webs     int    // open connections of the uwsgi front
+	webID    uint64 // names the requests of the uwsgi front
+	expireAt int64
+
 	checks  map[string]*session // deep health checks that wait for the engine
 	checkID int
 }
@@ -88,14 +97,22 @@
 // now is the system's Unix clock in microseconds.
 func now() int64 { return time.Now().UnixMicro() }
 
-// New prepares a server; nothing listens until Run.
+// New prepares a server; nothing listens until Serve.
 func New(cfg *config.Config, log *zap.Logger) (*Server, error) {
 	s := &Server{
 		cfg: cfg, log: log, done: make(chan error, 1),
 		sessions: map[handler]struct{}{}, checks: map[string]*session{},
-		slots: make(chan struct{}, max(8, cfg.Limits.Sockets-spareSockets)),
-		names: &frame.Names{Classes: map[string]int{}, Tenants: map[string]int{}},
+		backends: map[*backendConn]struct{}{},
+		slots:    make(chan struct{}, max(8, cfg.Limits.Sockets-spareSockets)),
+		names:    &frame.Names{Classes: map[string]int{}, Tenants: map[string]int{}},
+	}
+	room := max(8, cfg.Limits.Sockets-spareSockets)
+	for _, backend := range cfg.Backends {
+		if backend != "" && s.calls == 0 {
+			s.calls = room / 4
+		}
 	}
+	s.slots = make(chan struct{}, room-s.calls)
 	safe := make([]bool, len(cfg.Classes))
 	for i, class := range cfg.Classes {
 		s.names.Classes[class] = i
@@ -106,17 +123,18 @@
 	for i, tenant := range cfg.Tenants {
 		s.names.Tenants[tenant] = i
 	}
+	s.book = &uwsgi.Book{Classes: s.names.Classes, Tenants: s.names.Tenants, Contracts: cfg.UWSGI.Contracts}
 	s.link = engine.NewLink(s, cfg.Classes, safe)
 	var err error
 	s.core, err = core.New(core.Settings{
 		Module: cfg.Module, Seed: cfg.Seed,
 		Log: func(line string) { log.Info("module", zap.String("says", line)) },
-	}, s.link)
+	}, s)
 	return s, err
 }
 
-// Run serves until the drain is over or something that it cannot do without fails.
-func (s *Server) Run(signals <-chan os.Signal) error {
+// Serve serves until the drain is over or something that it cannot do without fails.
+func (s *Server) Serve(signals <-chan os.Signal) error {
 	var err error
 	if s.client, err = gnet.NewClient(s, gnet.WithReadBufferCap(readBuffer), gnet.WithTCPNoDelay(gnet.TCPNoDelay),
 		gnet.WithLogger(s.log.Sugar())); err != nil {
@@ -135,18 +153,22 @@
 		}
 		defer s.beacon.Close()
 	}
-	listener, err := net.Listen("tcp", s.cfg.Listen)
-	if err != nil {
-		return fmt.Errorf("listen: %w", err)
+	if err = s.Listen(); err != nil {
+		return err
 	}
-	s.listeners = append(s.listeners, listener)
+	defer s.unlisten()
 	s.onLoop(func() {
 		s.timer = time.AfterFunc(time.Hour, func() { s.onLoop(s.round) })
 		s.round()
 	})
-	go s.dial()
-	go s.accept(listener, func() handler { return newSession(s) })
-	s.log.Info("serving", zap.String("name", s.cfg.Name), zap.String("listen", s.cfg.Listen))
+	if s.cfg.Engine != "" {
+		go s.dial()
+	}
+	for _, l := range s.listeners {
+		go s.accept(l)
+	}
+	s.log.Info("serving", zap.String("name", s.cfg.Name), zap.String("listen", s.cfg.Listen),
+		zap.String("uwsgi", s.cfg.UWSGI.Listen))
 	for {
 		select {
 		case sig := <-signals:
@@ -157,6 +179,53 @@
 	}
 }
 
+// front is a listener and what its connections speak.
+type front struct {
+	net.Listener
+	session func() handler
+}
+
+// Listen opens the listeners, which Serve does otherwise.
+func (s *Server) Listen() error {
+	if s.listeners != nil {
+		return nil
+	}
+	for _, f := range []struct {
+		address string
+		session func() handler
+	}{
+		{s.cfg.Listen, func() handler { return newSession(s) }},
+		{s.cfg.UWSGI.Listen, func() handler { return newWebSession(s) }},
+	} {
+		if f.address == "" {
+			continue
+		}
+		l, err := net.Listen("tcp", f.address)
+		if err != nil {
+			s.unlisten()
+			return fmt.Errorf("listen: %w", err)
+		}
+		s.listeners = append(s.listeners, front{l, f.session})
+	}
+	return nil
+}
+
+// Addresses are those listened on: of the platform's protocol, then of uwsgi, where set up.
+func (s *Server) Addresses() []string {
+	var addresses []string
+	for _, l := range s.listeners {
+		addresses = append(addresses, l.Addr().String())
+	}
+	return addresses
+}
+
+func (s *Server) unlisten() {
+	s.stopping.Store(true)
+	for _, l := range s.listeners {
+		l.Close()
+	}
+}
+
 // findLoop enrols one end of a socket pair: gnet hands out its loop only with a connection.
 func (s *Server) findLoop() error {
 	pair, err := unix.Socketpair(unix.AF_UNIX, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
@@ -188,12 +257,12 @@
 }
 
 // accept takes connections as long as there is a slot for them.
-func (s *Server) accept(listener net.Listener, session func() handler) {
+func (s *Server) accept(l front) {
 	for {
 		s.slots <- struct{}{}
-		c, err := listener.Accept()
+		c, err := l.Accept()
 		if err == nil {
-			_, err = s.client.EnrollContext(c, session())
+			_, err = s.client.EnrollContext(c, l.session())
 		} else if s.stopping.Load() {
 			return
 		}
@@ -286,6 +355,7 @@
 	}
 	s.core.Step(t)
 	s.flush()
+	s.expire(t)
 	s.leave(t)
 	s.report(t)
 	s.arm()
@@ -308,6 +378,9 @@
 	if s.stopAt != 0 {
 		next = min(next, now()+20_000)
 	}
+	if s.webs > 0 || len(s.backends) > 0 {
+		next = min(next, max(s.expireAt, now()))
+	}
 	if next != s.timerAt || next <= now() {
 		s.timerAt = next
 		s.timer.Reset(max(time.Duration(next-now())*time.Microsecond, 0))
@@ -361,10 +434,7 @@
 	}
 	if !s.away {
 		s.away = true
-		s.stopping.Store(true)
-		for _, listener := range s.listeners {
-			listener.Close()
-		}
+		s.unlisten()
 		for h := range s.sessions {
 			if f, ok := h.(*session); ok {
 				f.goAway()
@@ -388,13 +458,25 @@
 func (s *Server) unsent() int {
 	n := 0
 	for h := range s.sessions {
-		if f, ok := h.(*session); ok {
+		switch f := h.(type) {
+		case *session:
+			n += f.conn.OutboundBuffered()
+		case *webSession:
 			n += f.conn.OutboundBuffered()
 		}
 	}
 	return n
 }
 
+// Run starts a request where its class is served.
+func (s *Server) Run(r *core.Request) {
+	if backend := s.cfg.Backends[r.Class]; backend != "" {
+		s.call(backend, r)
+		return
+	}
+	s.link.Run(r)
+}
+
 // Hello takes in that the engine is up.
 func (s *Server) Hello(cold bool, up int64) {
 	s.log.Info("engine", zap.Bool("cold", cold), zap.Int64("up_ms", up/1000))
--- /dev/null
+++ b/internal/server/server_test.go
@@ -0,0 +1,126 @@
+package server
+
+import (
+	"fmt"
+	"os"
+	"syscall"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"kiteslip/internal/config"
+	"kiteslip/internal/standin"
+)
+
+// settings are those of a small site: three classes, two tenants, room for all.
+const settings = `{"classes": [
+  {"name": "look", "effect": "repeatable", "on_time_us": 2000000, "hard_limit_us": 4000000, "worth": 1},
+  {"name": "find", "effect": "repeatable", "on_time_us": 2000000, "hard_limit_us": 4000000, "worth": 2},
+  {"name": "note", "effect": "by_key", "on_time_us": 2000000, "hard_limit_us": 4000000, "worth": 4, "window_us": 9000000}],
+ "tenants": [{"name": "red", "quota_per_s": 500}, {"name": "blue", "quota_per_s": 500}],
+ "ceilings": {"max_retry_after_us": 1000000, "retry_after": true},
+ "family_info": {"cores": 8, "memory_kb": 400000, "blowup": 4, "key_kb": 8, "gauges": ["cpu_busy", "runnable"]},
+ "rules": {"answer_slack_us": 60000, "drain_grace_us": 2000000, "fall_multiple": 8, "fall_us": 1500000},
+ "goal": {"whole": 1}, "tick_us": 4000, "group_size": 1}`
+
+// running is a server under test.
+type running struct {
+	*Server
+	frames, web string // addresses
+	signals     chan os.Signal
+	end         chan error
+}
+
+// start runs a server against an engine and, if operator is given, with that
+// operator's file, in which %s stands for a free loopback address.
+func start(t testing.TB, engine, registry, operator string) *running {
+	t.Helper()
+	cfg, err := config.Parse(fmt.Appendf(nil, `{"name": "t", "listen": "127.0.0.1:0", "engine": %q, "registry": %q,
+		"seed": "1", "stop_ms": 3000, "limits": {"cores": 1, "memory_mb": 64, "sockets": 256}, "settings": %s}`,
+		engine, registry, settings), "", "")
+	if err == nil && operator != "" {
+		cfg, err = config.ParseOperator(operator, cfg)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := New(cfg, zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := s.Listen(); err != nil {
+		t.Fatal(err)
+	}
+	r := &running{Server: s, signals: make(chan os.Signal, 1), end: make(chan error, 1), frames: s.Addresses()[0]}
+	if operator != "" {
+		r.web = s.Addresses()[1]
+	}
+	go func() { r.end <- s.Serve(r.signals) }()
+	t.Cleanup(func() { r.stop(t) })
+	return r
+}
+
+// stop drains the server and fails the test unless it ends well in time.
+func (r *running) stop(t testing.TB) {
+	t.Helper()
+	if r.signals == nil {
+		return
+	}
+	r.signals <- syscall.SIGTERM
+	r.signals = nil
+	select {
+	case err := <-r.end:
+		if err != nil {
+			t.Errorf("the drain ended with: %v", err)
+		}
+	case <-time.After(20 * time.Second):
+		t.Error("the drain does not end")
+	}
+}
+
+// counts reads the totals on the loop.
+func (r *running) look(f func()) {
+	done := make(chan struct{})
+	r.onLoop(func() { f(); close(done) })
+	<-done
+}
+
+// eventually waits for what the loop reports, bounded.
+func (r *running) eventually(t testing.TB, what string, ok func() bool) {
+	t.Helper()
+	for range 1000 {
+		is := false
+		r.look(func() { is = ok() })
+		if is {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatalf("%s: not within 10 s", what)
+}
+
+func TestServesAndReports(t *testing.T) {
+	engine := standin.NewEngine(t, standin.Echo(5*time.Millisecond))
+	registry, reports := standin.NewRegistry(t)
+	r := start(t, engine.Address, registry, "")
+	c := standin.Dial(t, r.frames)
+	c.Send(1, standin.Fields("look", "red", "", 1, time.Second), "\x00\r\nbody")
+	if got, _ := c.Next(); got.Code != 79 || got.Stream != 1 || got.Body != "did \x00\r\nbody" {
+		t.Errorf("answer %+v", got)
+	}
+	if got := <-reports; got != "BEAT t ready" {
+		t.Errorf("report %q", got)
+	}
+	r.stop(t)
+	last := ""
+	for len(reports) > 0 {
+		last = <-reports
+	}
+	if last != "BEAT t draining" {
+		t.Errorf("last report %q", last)
+	}
+	if got, ok := c.Next(); !ok || got.Type != 90 {
+		t.Errorf("want GOAWAY at the drain, got %+v", got)
+	}
+}
--- /dev/null
+++ b/internal/uwsgi/request.go
@@ -0,0 +1,162 @@
+package uwsgi
+
+import (
+	"math"
+	"net/http"
+	"strconv"
+
+	"kiteslip/internal/core"
+)
+
+// The variables by which a web tier says what a request is.
+const (
+	VarClass   = "KITESLIP_CLASS"      // or PATH_INFO, where a contract names a path
+	VarTenant  = "KITESLIP_TENANT"     // may be absent where there is only one
+	VarTimeout = "KITESLIP_TIMEOUT_MS" // how long the caller waits; absent = the contract's deadline
+	VarStamp   = "KITESLIP_TS"         // since when, in Unix milliseconds; absent = since it was read
+	VarKey     = "KITESLIP_KEY"        // the same for all tries of one request of a keyed class
+	VarSubject = "KITESLIP_SUBJECT"    // what a read is about, a number in hex
+	VarWork    = "KITESLIP_WORK_MS"    // the work to expect
+	VarRank    = "KITESLIP_RANK"       // from 0 to under 1
+	VarLength  = "CONTENT_LENGTH"
+	VarPath    = "PATH_INFO"
+)
+
+// Contract is what a front must know of one class.
+type Contract struct {
+	Keyed    bool
+	Deadline int64   // microseconds
+	MaxBody  int     // bytes
+	HeldKB   float64 // memory booked for one request while it is held
+	Path     string  // requests for it are of this class; "" = by VarClass only
+}
+
+// Book holds the contracts of a front.
+type Book struct {
+	Classes   map[string]int
+	Contracts []Contract // by class
+	Tenants   map[string]int
+}
+
+// Problem is a request that gets an answer without entering the core.
+type Problem struct {
+	Status int // as in HTTP
+	Reason string
+}
+
+func (p *Problem) Error() string { return p.Reason }
+
+func malformed(reason string) *Problem { return &Problem{http.StatusBadRequest, reason} }
+
+const (
+	maxKey     = 128
+	maxTimeout = 3_600_000
+)
+
+// ParseRequest reads the variables of a request that was read at now. It
+// returns the request, without its body, and the length of the body. What it
+// returns shares no memory with the variables.
+func ParseRequest(vars Vars, book *Book, now int64) (*core.Request, int, *Problem) {
+	r := &core.Request{Class: -1, Tenant: -1, Arrived: now}
+	length, timeout, path := 0, int64(-1), ""
+	for name, value := range vars.All() {
+		ok, text := true, string(value)
+		switch string(name) {
+		case VarClass:
+			r.Class, ok = lookUp(book.Classes, text)
+		case VarTenant:
+			r.Tenant, ok = lookUp(book.Tenants, text)
+			ok = ok || len(book.Tenants) == 0
+		case VarTimeout:
+			timeout, ok = whole(text, maxTimeout)
+		case VarStamp:
+			var ms int64
+			ms, ok = whole(text, math.MaxInt64/1000)
+			r.Arrived = ms * 1000
+		case VarKey:
+			r.Key, ok = text, len(text) > 0 && len(text) <= maxKey
+		case VarSubject:
+			var err error
+			r.Subject, err = strconv.ParseUint(text, 16, 64)
+			ok = err == nil
+		case VarWork:
+			var ms float64
+			ms, ok = decimal(text, maxTimeout)
+			r.Hint = int64(ms * 1000)
+		case VarRank:
+			r.Rank, ok = decimal(text, 1)
+		case VarLength:
+			if text != "" { // web servers send it empty where there is no body
+				var n int64
+				n, ok = whole(text, math.MaxInt32)
+				length = int(n)
+			}
+		case VarPath:
+			path = text
+		}
+		if !ok {
+			return nil, 0, malformed("variable " + string(name) + " cannot be used")
+		}
+	}
+	if r.Class < 0 {
+		r.Class = book.byPath(path)
+	}
+	if r.Tenant < 0 && len(book.Tenants) <= 1 {
+		r.Tenant = 0
+	}
+	switch {
+	case r.Class < 0:
+		return nil, 0, malformed("variable " + VarClass + " is absent, and no contract has this path")
+	case r.Tenant < 0:
+		return nil, 0, malformed("variable " + VarTenant + " is absent")
+	}
+	contract := &book.Contracts[r.Class]
+	switch {
+	case contract.Keyed && r.Key == "":
+		return nil, 0, malformed("variable " + VarKey + " is absent")
+	case length > contract.MaxBody:
+		return nil, 0, &Problem{http.StatusRequestEntityTooLarge,
+			"the body is over the " + strconv.Itoa(contract.MaxBody) + " bytes of its contract"}
+	}
+	if !contract.Keyed {
+		r.Key = ""
+	}
+	r.Write = contract.Keyed
+	r.SizeKB = contract.HeldKB
+	r.Due = r.Arrived + contract.Deadline
+	if timeout >= 0 {
+		r.Due = min(r.Due, r.Arrived+timeout*1000)
+	}
+	return r, length, nil
+}
+
+// byPath returns the class whose contract has the longest path that leads to
+// this one, or -1.
+func (b *Book) byPath(path string) int {
+	best, size := -1, 0
+	for i := range b.Contracts {
+		p := b.Contracts[i].Path
+		if len(p) > size && len(path) >= len(p) && path[:len(p)] == p &&
+			(len(path) == len(p) || path[len(p)] == '/' || p[len(p)-1] == '/') {
+			best, size = i, len(p)
+		}
+	}
+	return best
+}
+
+func lookUp(places map[string]int, name string) (int, bool) {
+	if i, ok := places[name]; ok {
+		return i, true
+	}
+	return -1, false
+}
+
+func whole(s string, most int64) (int64, bool) {
+	v, err := strconv.ParseInt(s, 10, 64)
+	return v, err == nil && v >= 0 && v <= most
+}
+
+func decimal(s string, most float64) (float64, bool) {
+	v, err := strconv.ParseFloat(s, 64)
+	return v, err == nil && v >= 0 && v <= most
+}
--- /dev/null
+++ b/internal/uwsgi/response.go
@@ -0,0 +1,112 @@
+package uwsgi
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+
+	"kiteslip/internal/core"
+)
+
+// AppendResponse appends the head of a response; a body of size bytes is to
+// follow. A retryAfter above 0 is in seconds.
+func AppendResponse(b []byte, status, retryAfter, size int) []byte {
+	b = fmt.Appendf(b, "HTTP/1.1 %d %s\r\nContent-Type: application/octet-stream\r\nContent-Length: %d\r\n",
+		status, http.StatusText(status), size)
+	if retryAfter > 0 {
+		b = fmt.Appendf(b, "Retry-After: %d\r\n", retryAfter)
+	}
+	return append(b, "\r\n"...)
+}
+
+// Status maps a final answer to a status of HTTP and a time to stay away, in
+// seconds. HTTP counts whole seconds, so a shorter advice becomes one.
+func Status(a *core.Answer) (status, retryAfter int) {
+	switch {
+	case a.Code == core.Served:
+		return http.StatusOK, 0
+	case a.Code == core.Refused:
+		return http.StatusServiceUnavailable, int(max(1, (a.HoldOff+999_999)/1_000_000))
+	case a.Cause == core.Overdue:
+		return http.StatusGatewayTimeout, 0
+	case a.Cause == core.RunFailed:
+		return http.StatusBadGateway, 0
+	}
+	return http.StatusInternalServerError, 0
+}
+
+// Response is the answer of a uwsgi server.
+type Response struct {
+	Status int
+	Body   []byte // points into the input
+}
+
+const maxHead = 16 << 10
+
+var (
+	errResponse = errors.New("uwsgi: not a response")
+	errBroken   = errors.New("uwsgi: the response breaks off")
+	errLarge    = errors.New("uwsgi: the response is too large")
+)
+
+// ParseResponse reads the response in b, whose body may have up to maxBody
+// bytes. It reports false while more bytes are needed; end says that no more will come.
+func ParseResponse(b []byte, end bool, maxBody int) (Response, bool, error) {
+	at := bytes.Index(b, []byte("\r\n\r\n"))
+	if at < 0 {
+		switch {
+		case len(b) > maxHead:
+			return Response{}, false, errResponse
+		case end:
+			return Response{}, false, errBroken
+		}
+		return Response{}, false, nil
+	}
+	r := Response{Status: http.StatusOK, Body: b[at+4:]}
+	length := -1
+	for i, line := range bytes.Split(b[:at], []byte("\r\n")) {
+		if i == 0 && bytes.HasPrefix(line, []byte("HTTP/1.")) {
+			words := bytes.Fields(line)
+			if len(words) < 2 {
+				return Response{}, false, errResponse
+			}
+			var err error
+			if r.Status, err = strconv.Atoi(string(words[1])); err != nil {
+				return Response{}, false, errResponse
+			}
+			continue
+		}
+		name, value, ok := bytes.Cut(line, []byte(":"))
+		if !ok {
+			return Response{}, false, errResponse
+		}
+		words := bytes.Fields(value)
+		var err error
+		switch {
+		case len(words) == 0:
+		case bytes.EqualFold(name, []byte("Status")):
+			r.Status, err = strconv.Atoi(string(words[0]))
+		case bytes.EqualFold(name, []byte("Content-Length")):
+			if length, err = strconv.Atoi(string(words[0])); length < 0 {
+				err = errResponse
+			}
+		}
+		if err != nil {
+			return Response{}, false, errResponse
+		}
+	}
+	switch {
+	case length > maxBody || length < 0 && len(r.Body) > maxBody:
+		return Response{}, false, errLarge
+	case length >= 0 && len(r.Body) >= length:
+		r.Body = r.Body[:length]
+		return r, true, nil
+	case length >= 0 && end:
+		return Response{}, false, errBroken
+	case length < 0 && end:
+		return r, true, nil
+	}
+	return Response{}, false, nil
+}
--- /dev/null
+++ b/internal/uwsgi/uwsgi.go
@@ -0,0 +1,103 @@
+// Package uwsgi reads and writes the uwsgi protocol: requests of a web tier,
+// and the answers that go back, which are HTTP responses. It parses in place
+// and does no I/O.
+package uwsgi
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"iter"
+)
+
+const (
+	headSize = 4
+	// Request is modifier 1 of a packet that carries the variables of a request.
+	Request = 0
+)
+
+// ErrModifier says that a packet is of a kind other than a request.
+var ErrModifier = errors.New("uwsgi: not a request packet")
+
+var errCut = errors.New("uwsgi: a variable is cut short")
+
+// Vars are the variables of a request, still in their wire form.
+type Vars struct{ raw []byte }
+
+// Split returns the variables at the start of b and the number of bytes that
+// they take with their head; 0 means that more bytes are needed. A body follows them.
+func Split(b []byte) (Vars, int, error) {
+	if len(b) >= 1 && b[0] != Request {
+		return Vars{}, 0, fmt.Errorf("%w: modifier %d", ErrModifier, b[0])
+	}
+	if len(b) < headSize {
+		return Vars{}, 0, nil
+	}
+	end := headSize + int(binary.LittleEndian.Uint16(b[1:]))
+	if len(b) < end {
+		return Vars{}, 0, nil
+	}
+	raw := b[headSize:end]
+	for rest := raw; len(rest) > 0; {
+		var err error
+		if _, rest, err = cut(rest); err == nil {
+			_, rest, err = cut(rest)
+		}
+		if err != nil {
+			return Vars{}, 0, err
+		}
+	}
+	return Vars{raw}, end, nil
+}
+
+// cut takes one string with its size off the front of b.
+func cut(b []byte) (s, rest []byte, err error) {
+	if len(b) < 2 {
+		return nil, nil, errCut
+	}
+	end := 2 + int(binary.LittleEndian.Uint16(b))
+	if len(b) < end {
+		return nil, nil, errCut
+	}
+	return b[2:end], b[end:], nil
+}
+
+// All yields each variable's name and value, in order.
+func (v Vars) All() iter.Seq2[[]byte, []byte] {
+	return func(yield func(name, value []byte) bool) {
+		for rest := v.raw; len(rest) > 0; {
+			var name, value []byte
+			name, rest, _ = cut(rest) // Split has checked them
+			value, rest, _ = cut(rest)
+			if !yield(name, value) {
+				return
+			}
+		}
+	}
+}
+
+// Var is a variable to be written.
+type Var struct{ Name, Value string }
+
+// AppendRequest appends the head and variables of a request; the body is to
+// follow. It fails if they do not fit a packet.
+func AppendRequest(b []byte, vars []Var) ([]byte, error) {
+	size := 0
+	for _, v := range vars {
+		size += 4 + len(v.Name) + len(v.Value)
+	}
+	if size > 0xffff {
+		return b, fmt.Errorf("uwsgi: variables of %d bytes do not fit a packet", size)
+	}
+	b = append(b, Request)
+	b = binary.LittleEndian.AppendUint16(b, uint16(size))
+	b = append(b, 0)
+	for _, v := range vars {
+		b = appendString(appendString(b, v.Name), v.Value)
+	}
+	return b, nil
+}
+
+func appendString(b []byte, s string) []byte {
+	return append(binary.LittleEndian.AppendUint16(b, uint16(len(s))), s...)
+}
