--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -63,7 +63,8 @@
 	names  *frame.Names
 	client *gnet.Client
 	loop   gnet.EventLoop
-	done   chan error // the end of the run
+	up     chan struct{} // closed when the loop runs
+	done   chan error    // the end of the run
 
 	listeners []front
 	slots     chan struct{} // one for each connection that may be open
@@ -100,7 +101,7 @@
 // New prepares a server; nothing listens until Serve.
 func New(cfg *config.Config, log *zap.Logger) (*Server, error) {
 	s := &Server{
-		cfg: cfg, log: log, done: make(chan error, 1),
+		cfg: cfg, log: log, up: make(chan struct{}), done: make(chan error, 1),
 		sessions: map[handler]struct{}{}, checks: map[string]*session{},
 		backends: map[*backendConn]struct{}{},
 		slots:    make(chan struct{}, max(8, cfg.Limits.Sockets-spareSockets)),
@@ -161,6 +162,7 @@
 		s.timer = time.AfterFunc(time.Hour, func() { s.onLoop(s.round) })
 		s.round()
 	})
+	close(s.up)
 	if s.cfg.Engine != "" {
 		go s.dial()
 	}
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -37,7 +37,7 @@
 func start(t testing.TB, engine, registry, operator string) *running {
 	t.Helper()
 	cfg, err := config.Parse(fmt.Appendf(nil, `{"name": "t", "listen": "127.0.0.1:0", "engine": %q, "registry": %q,
-		"seed": "1", "stop_ms": 3000, "limits": {"cores": 1, "memory_mb": 64, "sockets": 256}, "settings": %s}`,
+		"seed": "1", "stop_ms": 2000, "limits": {"cores": 1, "memory_mb": 64, "sockets": 256}, "settings": %s}`,
 		engine, registry, settings), "", "")
 	if err == nil && operator != "" {
 		cfg, err = config.ParseOperator(operator, cfg)
@@ -57,6 +57,11 @@
 		r.web = s.Addresses()[1]
 	}
 	go func() { r.end <- s.Serve(r.signals) }()
+	select {
+	case <-s.up:
+	case err := <-r.end:
+		t.Fatalf("it does not start: %v", err)
+	}
 	t.Cleanup(func() { r.stop(t) })
 	return r
 }
@@ -79,7 +84,7 @@
 	}
 }
 
-// counts reads the totals on the loop.
+// look runs f on the loop.
 func (r *running) look(f func()) {
 	done := make(chan struct{})
 	r.onLoop(func() { f(); close(done) })
--- a/internal/server/web.go
+++ b/internal/server/web.go
@@ -98,7 +98,8 @@
 func (f *webSession) enter(body []byte) {
 	r := f.request
 	f.s.webID++
-	r.Name = fmt.Sprintf("%016x", f.s.webID)
+	// Not 16 hex digits: guards against a name that a caller of the other front has chosen.
+	r.Name = fmt.Sprintf("w%015x", f.s.webID)
 	r.Body, r.Stream, r.From = body, 1, f
 	if err := f.s.core.Arrive(now(), r); err != nil {
 		f.refuse(&uwsgi.Problem{Status: http.StatusBadRequest, Reason: err.Error()})
