--- /dev/null
+++ b/Makefile
@@ -0,0 +1,21 @@
+# build, test, lint and run; see README.md.
+VERSION := $(shell git describe --always --dirty 2>/dev/null || echo development)
+
+.PHONY: build test lint run
+
+build:
+	mkdir -p bin
+	go build -ldflags "-X main.version=$(VERSION)" -o bin/ ./cmd/...
+
+# The module and the parsers as they are; all that touches sockets with the race detector.
+test:
+	go test . ./cmd/... ./internal/wire/... ./internal/config/... ./internal/frame/... ./internal/uwsgi/...
+	go test -race ./internal/core/... ./internal/engine/... ./internal/registry/... ./internal/server/...
+
+lint:
+	@test -z "$$(gofmt -l .)" || { gofmt -l .; exit 1; }
+	go vet ./...
+
+# A server by itself, with the uwsgi front, as deploy/operator.toml sets it up.
+run: build
+	exec bin/kiteslip serve --operator deploy/operator.toml
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -32,13 +32,14 @@
 // run is a request that was handed over and has not ended.
 type run struct {
 	r       *core.Request
-	written bool // to some link; otherwise the engine has not seen it
-	resend  bool // written to a link that was lost, and safe to write again
+	written int64 // when it was last written to a link; 0 = the engine has not seen it
+	lost    bool  // that link is gone: the engine may or may not have read it
 }
 
 // Link is the state of the conversation with one engine.
 type Link struct {
 	events  Events
+	now     func() int64 // Unix microseconds
 	classes []string
 	safe    []bool                // by class: running twice does no harm
 	send    func(parts ...[]byte) // nil while there is no link
@@ -52,9 +53,18 @@
 // replayed notices.
 const fence = "fence"
 
+// quickest is the part of the expected work below which no run ends, however
+// fast the cores and however wrong the hint: what was written no longer ago
+// than that cannot have ended.
+const quickest = 8
+
+// giveUp is how long past its due time a run is waited for that the engine may
+// never have read.
+const giveUp = 5_000_000
+
 // NewLink returns a Link for the classes named, in the order of the settings.
-func NewLink(events Events, classes []string, safe []bool) *Link {
-	return &Link{events: events, classes: classes, safe: safe, runs: map[string]*run{}}
+func NewLink(events Events, now func() int64, classes []string, safe []bool) *Link {
+	return &Link{events: events, now: now, classes: classes, safe: safe, runs: map[string]*run{}}
 }
 
 // Attach takes a new connection into use, through send. What it sends must be
@@ -68,7 +78,7 @@
 func (l *Link) Lost() {
 	l.send, l.ready, l.stat = nil, false, false
 	for _, u := range l.runs {
-		u.resend = u.written && l.safe[u.r.Class]
+		u.lost = u.written != 0
 	}
 }
 
@@ -88,7 +98,7 @@
 }
 
 func (l *Link) write(u *run) {
-	u.written, u.resend = true, false
+	u.written, u.lost = l.now(), false
 	line := fmt.Appendf(nil, "RUN %s %s %d\r\n", u.r.Name, l.classes[u.r.Class], len(u.r.Body))
 	l.send(line, u.r.Body, crlf)
 }
@@ -249,14 +259,30 @@
 }
 
 // open ends the attachment: all notices of the time without a link are in, so
-// what is still in the book either runs or was never read. A run that is safe
-// to repeat is written again, which does nothing if it runs; a keyed one that
-// may have been read is not: it could have ended since the last notice.
+// what is still in the book either runs or was never read. Writing it again
+// does nothing if it runs, but would start it anew if it ended a moment ago.
+// Guards against a second run of a key: unless it is safe to repeat, it is
+// written again only while it is too young to have ended.
 func (l *Link) open() {
 	l.ready = true
+	t := l.now()
 	for _, u := range l.runs {
-		if !u.written || u.resend {
+		young := t-u.written < u.r.Hint/quickest
+		if u.written == 0 || u.lost && (young || l.safe[u.r.Class]) {
 			l.write(u)
 		}
 	}
 }
+
+// Expire ends, as failed, runs that were on a lost link and of which nothing
+// was heard until long after they were due. Guards against places in the
+// module's limit that are never given back.
+func (l *Link) Expire() {
+	t := l.now()
+	for name, u := range l.runs {
+		if u.lost && l.ready && t > u.r.Due+giveUp {
+			delete(l.runs, name)
+			l.events.Done(u.r, kiteslip.Failed, t-u.written, nil)
+		}
+	}
+}
--- /dev/null
+++ b/internal/engine/engine_test.go
@@ -0,0 +1,242 @@
+package engine
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"kiteslip"
+	"kiteslip/internal/core"
+)
+
+// peer is a model of the engine's side and of what the server must see.
+type peer struct {
+	t       interface{ Fatalf(string, ...any) }
+	link    *Link
+	now     int64
+	up      bool
+	unread  []string        // commands under way to the engine
+	pending []byte          // bytes under way to the server
+	notices []string        // all so far
+	live    map[string]bool // runs under way
+	started map[string]int
+	ended   map[string]bool // Done was called
+	sent    []*core.Request
+}
+
+func (p *peer) Hello(bool, int64)   {}
+func (p *peer) Stats([]float32)     {}
+func (p *peer) Tested(string, bool) {}
+func (p *peer) Done(r *core.Request, outcome kiteslip.Outcome, _ int64, result []byte) {
+	if p.ended[r.Name] {
+		p.t.Fatalf("%s ends twice", r.Name)
+	}
+	p.ended[r.Name] = true
+	if outcome == kiteslip.OK && string(result) != "r\r\n"+r.Name {
+		p.t.Fatalf("%s ends with %q", r.Name, result)
+	}
+}
+
+func (p *peer) send(parts ...[]byte) {
+	var b strings.Builder
+	for _, part := range parts {
+		b.Write(part)
+	}
+	p.unread = append(p.unread, b.String())
+}
+
+// tell sends a notice over the link, if there is one.
+func (p *peer) tell(s string) {
+	if p.up {
+		p.pending = append(p.pending, s...)
+	}
+}
+
+// read lets the engine take its next command.
+func (p *peer) read() {
+	command := p.unread[0]
+	p.unread = p.unread[1:]
+	words := strings.Fields(command)
+	switch words[0] {
+	case "ATTACH":
+		n := 0
+		fmt.Sscan(words[1], &n) //nolint:errcheck // 0 then
+		p.tell("HELLO hot 10\r\n")
+		for _, notice := range p.notices[n:] {
+			p.tell(notice)
+		}
+	case "STAT":
+		p.tell("STATS " + words[1] + " 0.5 1 0 0\r\n")
+	case "RUN":
+		if !strings.HasSuffix(command, " 4\r\nbody\r\n") {
+			p.t.Fatalf("command %q", command)
+		}
+		if id := words[1]; !p.live[id] {
+			p.live[id] = true
+			p.started[id]++
+		}
+	}
+}
+
+func (p *peer) deliver(n int) {
+	p.pending = p.pending[p.feed(p.pending[:n]):]
+}
+
+func (p *peer) feed(b []byte) int {
+	used, err := p.link.Feed(b)
+	if err != nil {
+		p.t.Fatalf("%v", err)
+	}
+	return used
+}
+
+func (p *peer) attach() {
+	p.up = true
+	p.link.Attach(p.send)
+}
+
+// settle brings all under way to its end, with the link up.
+func (p *peer) settle() {
+	if !p.up {
+		p.attach()
+	}
+	for len(p.unread) > 0 || len(p.pending) > 0 || len(p.live) > 0 {
+		for len(p.unread) > 0 {
+			p.read()
+		}
+		p.deliver(len(p.pending))
+		for id := range p.live {
+			p.end(id)
+		}
+	}
+}
+
+func (p *peer) end(id string) {
+	delete(p.live, id)
+	p.notices = append(p.notices, fmt.Sprintf("DONE %d %s complete 12.5 %d\r\nr\r\n%s\r\n", len(p.notices)+1, id, 3+len(id), id))
+	p.tell(p.notices[len(p.notices)-1])
+}
+
+func newPeer(t interface{ Fatalf(string, ...any) }) *peer {
+	p := &peer{t: t, now: 1, live: map[string]bool{}, started: map[string]int{}, ended: map[string]bool{}}
+	p.link = NewLink(p, func() int64 { return p.now }, []string{"safe", "keyed"}, []bool{true, false})
+	return p
+}
+
+const shortest = 50_000 // no run of the model ends before this
+
+func TestLinkAgainstModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := newPeer(t)
+		began := map[string]int64{}
+		t.Repeat(map[string]func(*rapid.T){
+			"run": func(t *rapid.T) {
+				r := &core.Request{Name: fmt.Sprint("id", len(p.sent)), Class: rapid.IntRange(0, 1).Draw(t, "class"),
+					Body: []byte("body"), Hint: shortest * quickest, Due: p.now + 1_000_000}
+				p.sent = append(p.sent, r)
+				p.link.Run(r)
+			},
+			"read": func(t *rapid.T) {
+				if len(p.unread) > 0 {
+					p.read()
+				}
+				for id := range p.live {
+					if began[id] == 0 {
+						began[id] = p.now
+					}
+				}
+			},
+			"end": func(t *rapid.T) {
+				for _, r := range p.sent {
+					if p.live[r.Name] && p.now-began[r.Name] >= shortest {
+						p.end(r.Name)
+						return
+					}
+				}
+			},
+			"deliver": func(t *rapid.T) { p.deliver(rapid.IntRange(0, len(p.pending)).Draw(t, "bytes")) },
+			"pass":    func(t *rapid.T) { p.now += rapid.Int64Range(1, 60_000).Draw(t, "span") },
+			"cut": func(t *rapid.T) {
+				if p.up {
+					p.up, p.unread, p.pending = false, nil, nil
+					p.link.Lost()
+				}
+			},
+			"attach": func(t *rapid.T) {
+				if !p.up {
+					p.attach()
+				}
+			},
+		})
+		p.settle()
+		p.now += 100_000_000
+		p.link.Expire()
+		for _, r := range p.sent {
+			if r.Class == 1 && p.started[r.Name] > 1 {
+				t.Fatalf("keyed %s is started %d times", r.Name, p.started[r.Name])
+			}
+			if !p.ended[r.Name] {
+				t.Fatalf("%s never ends", r.Name)
+			}
+		}
+		if p.link.Running() != 0 {
+			t.Fatalf("%d runs are left", p.link.Running())
+		}
+	})
+}
+
+// The narrow case: a keyed run ends just after the engine has answered the
+// fence, so that its notice is still under way when the server decides.
+func TestKeyedRunIsNotRepeated(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		read  bool  // the engine had read the command
+		age   int64 // of the run when the server decides
+		again bool
+	}{{"read long ago", true, shortest, false}, {"never read, long ago", false, shortest, false}, {"never read, just now", false, shortest - 2, true}} {
+		p := newPeer(t)
+		p.attach()
+		p.settle()
+		r := &core.Request{Name: "k", Class: 1, Body: []byte("body"), Hint: shortest * quickest, Due: 1_000_000}
+		p.link.Run(r)
+		if c.read {
+			p.read()
+		}
+		p.up, p.unread = false, nil
+		p.link.Lost()
+		p.attach()
+		p.read()
+		p.deliver(len(p.pending))
+		p.read() // the fence
+		p.now += c.age
+		answer := len(p.pending)
+		if c.read {
+			p.end("k")
+		}
+		p.deliver(answer)
+		if again := len(p.unread) > 0; again != c.again {
+			t.Errorf("%s: written again: %v", c.name, again)
+		}
+		p.settle()
+		p.now += 100_000_000
+		p.link.Expire()
+		if p.started["k"] > 1 || !p.ended["k"] {
+			t.Errorf("%s: started %d times, ended %v", c.name, p.started["k"], p.ended["k"])
+		}
+	}
+}
+
+func TestBadNotices(t *testing.T) {
+	for _, text := range []string{"\r\n", "WHAT\r\n", "DONE 1 x complete 1\r\n", "DONE 1 x complete 1 -1\r\n\r\n",
+		"DONE 1 x complete 1 99999999\r\n", "DONE 1 x gone 1 0\r\n\r\n", "DONE 1 x complete 1 1\r\nabc", "HELLO hot\r\n",
+		"NOTE x y\r\n", "TESTED t\r\n", strings.Repeat("x", 5000)} {
+		l := NewLink(&peer{}, func() int64 { return 1 }, nil, nil)
+		l.Attach(func(...[]byte) {})
+		if _, err := l.Feed([]byte(text)); !errors.Is(err, ErrProtocol) {
+			t.Errorf("%.40q: %v", text, err)
+		}
+	}
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -125,7 +125,7 @@
 		s.names.Tenants[tenant] = i
 	}
 	s.book = &uwsgi.Book{Classes: s.names.Classes, Tenants: s.names.Tenants, Contracts: cfg.UWSGI.Contracts}
-	s.link = engine.NewLink(s, cfg.Classes, safe)
+	s.link = engine.NewLink(s, now, cfg.Classes, safe)
 	var err error
 	s.core, err = core.New(core.Settings{
 		Module: cfg.Module, Seed: cfg.Seed,
@@ -393,6 +393,7 @@
 func (s *Server) report(t int64) {
 	if t >= s.reportAt {
 		s.reportAt = t + registry.Interval
+		s.link.Expire()
 		if s.beacon != nil {
 			if err := s.beacon.Report(s.core.Draining()); err != nil {
 				s.log.Debug("registry", zap.Error(err))
@@ -522,12 +523,12 @@
 }
 
 func (e *engineConn) closed() {
-	e.s.log.Warn("the link to the engine is gone", zap.Int("running", e.s.link.Running()))
 	e.s.link.Lost()
 	for tag := range e.s.checks {
 		e.s.Tested(tag, false)
 	}
 	if !e.s.over.Load() {
+		e.s.log.Warn("the link to the engine is gone", zap.Int("running", e.s.link.Running()))
 		go e.s.dial()
 	}
 }
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -27,6 +27,7 @@
 // running is a server under test.
 type running struct {
 	*Server
+	test        testing.TB
 	frames, web string // addresses
 	signals     chan os.Signal
 	end         chan error
@@ -52,7 +53,7 @@
 	if err := s.Listen(); err != nil {
 		t.Fatal(err)
 	}
-	r := &running{Server: s, signals: make(chan os.Signal, 1), end: make(chan error, 1), frames: s.Addresses()[0]}
+	r := &running{Server: s, test: t, signals: make(chan os.Signal, 1), end: make(chan error, 1), frames: s.Addresses()[0]}
 	if operator != "" {
 		r.web = s.Addresses()[1]
 	}
--- /dev/null
+++ b/internal/server/session_test.go
@@ -0,0 +1,256 @@
+package server
+
+import (
+	"encoding/binary"
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"kiteslip/internal/frame"
+	"kiteslip/internal/standin"
+)
+
+// A check against live sockets takes a while: twenty walks are enough.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.checks"); f.Value.String() == f.DefValue {
+		f.Value.Set("20") //nolint:errcheck // it is a number
+	}
+	os.Exit(m.Run())
+}
+
+// model is what one connection should see: for each stream the codes that are
+// legal as its only answer, and how many errors stream 0 tells of.
+type model struct {
+	legal   map[uint32][]byte
+	body    map[uint32]string
+	highest uint32
+	open    int // long runs without an answer
+	faults  int
+	checks  int
+	name    uint64
+}
+
+// expect reads what is still to come and compares it.
+func (m *model) expect(t *rapid.T, c *standin.Caller, cancelled map[uint32]bool) {
+	for len(m.legal) > len(cancelled) || m.faults > 0 || m.checks > 0 {
+		got, ok := c.Next()
+		if !ok {
+			t.Fatalf("the connection ends; still to come: %v, %d faults", m.legal, m.faults)
+		}
+		switch {
+		case got.Type == frame.Checked && got.Code == frame.Good:
+			m.checks--
+		case got.Stream == 0 && got.Type == frame.Answer && got.Code == frame.Failed:
+			m.faults--
+		default:
+			codes, known := m.legal[got.Stream]
+			if !known || got.Type != frame.Answer {
+				t.Fatalf("unexpected %+v", got)
+			}
+			fits := false
+			for _, code := range codes {
+				fits = fits || code == got.Code
+			}
+			if !fits || got.Code == frame.Served && got.Body != "did "+m.body[got.Stream] {
+				t.Fatalf("stream %d: %+v, want code of %v", got.Stream, got, codes)
+			}
+			delete(m.legal, got.Stream)
+			delete(cancelled, got.Stream)
+		}
+	}
+}
+
+func TestConnectionAgainstModel(t *testing.T) {
+	engine := standin.NewEngine(t, standin.Echo(time.Millisecond))
+	r := start(t, engine.Address, "", "")
+	r.eventually(t, "the engine's link", r.link.Ready)
+	name := uint64(0)
+	rapid.Check(t, func(t *rapid.T) {
+		c := standin.Dial(r.test, r.frames)
+		defer c.Conn.Close()
+		m := &model{legal: map[uint32][]byte{}, body: map[uint32]string{}}
+		cancelled := map[uint32]bool{}
+		var out []byte
+		request := func(fields []frame.Field, codes ...byte) {
+			m.highest += rapid.Uint32Range(1, 3).Draw(t, "step")
+			m.body[m.highest] = fmt.Sprint("body ", name)
+			m.legal[m.highest] = codes
+			out = frame.AppendRequest(out, m.highest, fields, []byte(m.body[m.highest]))
+		}
+		fresh := func() []frame.Field {
+			name++
+			return standin.Fields("look", "red", "", name, 3*time.Second)
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"": func(t *rapid.T) {
+				if len(m.legal) < 24 {
+					return
+				}
+				c.Write(out)
+				out = nil
+				m.expect(t, c, cancelled)
+			},
+			"request":       func(t *rapid.T) { request(fresh(), frame.Served) },
+			"unknown class": func(t *rapid.T) { f := fresh(); f[0].Value = "nil"; request(f, frame.Failed) },
+			"no tenant":     func(t *rapid.T) { request(append(fresh()[:1], fresh()[2:]...), frame.Failed) },
+			"bad field":     func(t *rapid.T) { f := fresh(); f[4].Value = "now"; request(f, frame.Failed) },
+			"reused stream": func(t *rapid.T) {
+				if m.highest > 0 {
+					out = frame.AppendRequest(out, m.highest, fresh(), nil)
+					m.faults++
+				}
+			},
+			"cancel": func(t *rapid.T) {
+				// An answer may have gone out already: then it does no harm.
+				stream := rapid.Uint32Range(1, m.highest+2).Draw(t, "stream")
+				if _, open := m.legal[stream]; open {
+					cancelled[stream] = true
+				}
+				out = frame.AppendHead(out, frame.Cancel, stream, 0)
+			},
+			"check": func(t *rapid.T) {
+				out = append(frame.AppendHead(out, frame.Check, m.highest+1, 1+3+4+1), "\x01\x04real\x00\x011"...)
+				m.checks++
+			},
+			"write": func(t *rapid.T) {
+				n := rapid.IntRange(0, len(out)).Draw(t, "cut")
+				c.Write(out[:n])
+				out = out[n:]
+			},
+		})
+		c.Write(out)
+		m.expect(t, c, cancelled)
+	})
+}
+
+// What cannot be told apart any more ends the connection, after an error on stream 0.
+func TestMalformedStreamCloses(t *testing.T) {
+	engine := standin.NewEngine(t, standin.Echo(time.Millisecond))
+	r := start(t, engine.Address, "", "")
+	for name, bytes := range map[string][]byte{
+		"too short":       {0, 0, 0, 1, 65},
+		"too long":        {0xff, 0xff, 0xff, 0xff},
+		"unknown type":    frame.AppendHead(nil, 99, 1, 0),
+		"an answer":       frame.AppendHead(nil, frame.Answer, 1, 0),
+		"request on 0":    frame.AppendRequest(nil, 0, standin.Fields("look", "red", "", 1, time.Second), nil),
+		"malformed check": append(frame.AppendHead(nil, frame.Check, 1, 1), 9),
+	} {
+		c := standin.Dial(t, r.frames)
+		c.Write(bytes)
+		if got, ok := c.Next(); !ok || got.Stream != 0 || got.Code != frame.Failed {
+			t.Errorf("%s: %+v", name, got)
+		}
+		if got, ok := c.Next(); ok {
+			t.Errorf("%s: the connection goes on with %+v", name, got)
+		}
+	}
+	c := standin.Dial(t, r.frames)
+	c.Write([]byte("\x00\x00\x00\x06\x41\x00\x00\x00\x07\xff"))
+	if got, _ := c.Next(); got.Stream != 7 || got.Code != frame.Failed {
+		t.Errorf("fields cut short: %+v", got)
+	}
+}
+
+func TestOver32Open(t *testing.T) {
+	engine := standin.NewEngine(t, standin.Echo(300*time.Millisecond))
+	r := start(t, engine.Address, "", "")
+	c := standin.Dial(t, r.frames)
+	var out []byte
+	for i := range 33 {
+		out = frame.AppendRequest(out, uint32(i+1), standin.Fields("look", "red", "", uint64(i+1), 3*time.Second), []byte("b"))
+	}
+	c.Write(out)
+	if got, _ := c.Next(); got.Stream != 33 || got.Code != frame.Refused {
+		t.Errorf("first answer %+v, want a refusal of the 33rd", got)
+	}
+	for range 32 {
+		if got, ok := c.Next(); !ok || got.Code != frame.Served && got.Code != frame.Refused {
+			t.Errorf("%+v", got)
+		}
+	}
+}
+
+// Large frames that never come whole are bounded over all connections.
+func TestHalfSentFramesAreBounded(t *testing.T) {
+	engine := standin.NewEngine(t, standin.Echo(time.Millisecond))
+	r := start(t, engine.Address, "", "")
+	part := make([]byte, frame.MaxLength)
+	binary.BigEndian.PutUint32(part, frame.MaxLength)
+	part[4] = frame.Request
+	var callers []*standin.Caller
+	for range 40 { // 10 MB against an eighth of 64 MB
+		c := standin.Dial(t, r.frames)
+		c.Write(part)
+		callers = append(callers, c)
+	}
+	r.eventually(t, "the memory is bounded", func() bool {
+		return len(r.sessions) < 40 && r.buffered <= r.cfg.Limits.MemoryMB<<20/heldDivisor+frame.MaxLength
+	})
+	for _, c := range callers {
+		c.Conn.Close()
+	}
+	r.eventually(t, "all is freed", func() bool { return r.buffered == 0 })
+}
+
+// A caller that does not read is closed once too much waits for it.
+func TestSlowReaderIsClosed(t *testing.T) {
+	result := make([]byte, frame.MaxResult)
+	engine := standin.NewEngine(t, func(string) standin.Work { return standin.Work{Result: string(result)} })
+	r := start(t, engine.Address, "", "")
+	var s *session
+	c := standin.Dial(t, r.frames)
+	r.eventually(t, "a session", func() bool {
+		for h := range r.sessions {
+			if f, ok := h.(*session); ok {
+				s = f
+			}
+		}
+		return s != nil
+	})
+	// Fill the socket on the loop: the reader of the stand-in cannot run dry of it in between.
+	r.look(func() {
+		for range 16_384 {
+			s.put(frame.Answer, 0, frame.Failed, nil, result)
+		}
+		s.flush()
+	})
+	r.eventually(t, "the connection is closed", func() bool { return s.gone })
+	for range c.Replies { //nolint:revive // until the end of the connection
+	}
+}
+
+// A cut of the engine's link loses no run and repeats no keyed one.
+func TestEngineLinkCut(t *testing.T) {
+	engine := standin.NewEngine(t, standin.Echo(100*time.Millisecond))
+	r := start(t, engine.Address, "", "")
+	c := standin.Dial(t, r.frames)
+	r.eventually(t, "the engine's link", r.link.Ready)
+	const tries = 24
+	for i := range tries {
+		class, key := "look", ""
+		if i%2 == 0 {
+			class, key = "note", fmt.Sprint("key", i)
+		}
+		c.Send(uint32(i+1), standin.Fields(class, "red", key, uint64(i+1), 3*time.Second), fmt.Sprint("body ", i))
+		time.Sleep(10 * time.Millisecond)
+		if i%8 == 4 {
+			time.Sleep(20 * time.Millisecond) // what was written has been read
+			engine.Cut()
+		}
+	}
+	for range tries {
+		if got, ok := c.Next(); !ok || got.Code != frame.Served || got.Body != fmt.Sprint("did body ", got.Stream-1) {
+			t.Errorf("%+v", got)
+		}
+	}
+	for body, n := range engine.Runs() {
+		if n != 1 {
+			t.Errorf("%s ran %d times", body, n)
+		}
+	}
+}
