Read and write capture files, and replay their requests

gopacket reads pcap and pcapng and puts TCP streams in order; replay feeds the requests through the fronts' parsers and the core on the capture's clock, and can write them with the answers as a new capture.

The wording of a final answer as a frame moved from the server's session to frame.Final, which replay shares. A result over the protocol's 4 KiB, which a uwsgi server may return, now fails on the frame front.

--- a/cmd/kiteslip/main.go
+++ b/cmd/kiteslip/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"io"
 	"math"
 	"os"
 	"os/signal"
@@ -14,6 +15,7 @@
 	"github.com/alecthomas/kong"
 	"go.uber.org/zap"
 
+	"kiteslip"
 	"kiteslip/internal/config"
 	"kiteslip/internal/server"
 )
@@ -24,6 +26,7 @@
 type cli struct {
 	Serve   serveCmd   `cmd:"" default:"withargs" help:"Serve until SIGTERM (the default)."`
 	Check   checkCmd   `cmd:"" help:"Read and check the configuration, and say what it amounts to."`
+	Pcap    pcapCmd    `cmd:"" help:"Work with capture files."`
 	Version versionCmd `cmd:"" help:"Print the version."`
 }
 
@@ -94,12 +97,34 @@
 	if err != nil {
 		return err
 	}
-	fmt.Printf("%s listens on %s, engine %s, registry %s\n", cfg.Name, cfg.Listen, cfg.Engine, cfg.Registry)
-	fmt.Printf("limits: %g cores, %d MB, %d sockets\n", cfg.Limits.Cores, cfg.Limits.MemoryMB, cfg.Limits.Sockets)
-	fmt.Printf("classes: %q, tenants: %q\n", cfg.Classes, cfg.Tenants)
+	describe(os.Stdout, cfg)
 	return nil
 }
 
+// describe says what a configuration amounts to, a line for each thing.
+func describe(w io.Writer, cfg *config.Config) {
+	or := func(address, otherwise string) string {
+		if address == "" {
+			return otherwise
+		}
+		return address
+	}
+	fmt.Fprintf(w, "%s: frames on %s, uwsgi on %s, engine %s, registry %s\n", cfg.Name, or(cfg.Listen, "(off)"),
+		or(cfg.UWSGI.Listen, "(off)"), or(cfg.Engine, "(none)"), or(cfg.Registry, "(none)"))
+	fmt.Fprintf(w, "limits: %g cores, %d MB, %d sockets; %d ms from SIGTERM to the kill\n",
+		cfg.Limits.Cores, cfg.Limits.MemoryMB, cfg.Limits.Sockets, cfg.Stop/1000)
+	for i, name := range cfg.Tenants {
+		fmt.Fprintf(w, "team %s: %g requests/s\n", name, cfg.Module.Tenants[i].Quota)
+	}
+	effects := map[kiteslip.Effect]string{kiteslip.Repeatable: "repeatable", kiteslip.Keyed: "keyed", kiteslip.Once: "once"}
+	for i, name := range cfg.Classes {
+		class := &cfg.Module.Classes[i]
+		fmt.Fprintf(w, "class %s: %s, aim %d ms, deadline %d ms, window %d ms, worth %g, body %d bytes, served by %s\n", name,
+			effects[class.Effect], class.Aim/1000, class.Limit/1000, class.Window/1000, class.Worth,
+			cfg.UWSGI.Contracts[i].MaxBody, or(cfg.Backends[i], "the engine"))
+	}
+}
+
 type versionCmd struct{}
 
 func (c *versionCmd) Run() error {
--- /dev/null
+++ b/cmd/kiteslip/pcap.go
@@ -0,0 +1,84 @@
+package main
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"os"
+
+	"kiteslip/internal/pcap"
+	"kiteslip/internal/replay"
+)
+
+type pcapCmd struct {
+	Stat   statCmd   `cmd:"" help:"List the TCP streams of a capture file."`
+	Replay replayCmd `cmd:"" help:"Feed the requests of a capture file through a front and the core, without doing the work, and say what became of them."`
+}
+
+type statCmd struct {
+	File string `arg:"" type:"existingfile" help:"The capture file (pcap or pcapng)."`
+}
+
+func (c *statCmd) Run() error {
+	streams, err := readCapture(c.File)
+	if err != nil {
+		return err
+	}
+	for _, s := range streams {
+		broken := ""
+		if s.Broken {
+			broken = ", packets are missing"
+		}
+		fmt.Printf("%v to %v: %d bytes in %d pieces%s\n", s.From, s.To, len(s.Bytes()), len(s.Chunks), broken)
+	}
+	return nil
+}
+
+type replayCmd struct {
+	operatorFlag
+	File  string `arg:"" type:"existingfile" help:"The capture file (pcap or pcapng)."`
+	Port  uint16 `required:"" help:"The port of the server in the capture."`
+	Front string `enum:"frames,uwsgi" default:"frames" help:"What its connections speak: ${enum}."`
+	Write string `type:"path" help:"Write the traffic, with the answers given here, to this capture file."`
+}
+
+func (c *replayCmd) Run() (err error) {
+	cfg, err := load(c.Operator)
+	if err != nil {
+		return err
+	}
+	streams, err := readCapture(c.File)
+	if err != nil {
+		return err
+	}
+	options := replay.Options{Port: c.Port, Web: c.Front == "uwsgi"}
+	if c.Write != "" {
+		file, createErr := os.Create(c.Write)
+		if createErr != nil {
+			return createErr
+		}
+		out := bufio.NewWriter(file)
+		defer func() { err = errors.Join(err, out.Flush(), file.Close()) }()
+		options.Write = out
+	}
+	r, err := replay.Run(streams, cfg, options)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("connections %d (%d unfinished, %d with packets missing)\nrequests %d: served %d, refused %d, failed %d; malformed %d\n",
+		r.Connections, r.Unfinished, r.Broken, r.Read, r.Served, r.Refused, r.Failed, r.Malformed)
+	return nil
+}
+
+func readCapture(path string) ([]*pcap.Stream, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer file.Close()
+	streams, err := pcap.Read(file)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return streams, nil
+}
--- /dev/null
+++ b/internal/frame/answer.go
@@ -0,0 +1,24 @@
+package frame
+
+import (
+	"strconv"
+
+	"kiteslip/internal/core"
+)
+
+// Final words a final answer: its code, fields and body.
+func Final(a *core.Answer) (code byte, fields []Field, body []byte) {
+	switch {
+	case a.Code == core.Refused:
+		if a.HoldOff > 0 {
+			fields = append(fields, Field{"holdoff", strconv.FormatInt((a.HoldOff+999)/1000, 10)})
+		}
+		if a.NoMore {
+			fields = append(fields, Field{"nomore", "1"})
+		}
+		return Refused, fields, nil
+	case a.Code == core.Served && len(a.Result) <= MaxResult:
+		return Served, nil, a.Result
+	}
+	return Failed, nil, nil // also a result that no frame may carry
+}
--- /dev/null
+++ b/internal/pcap/pcap.go
@@ -0,0 +1,179 @@
+// Package pcap reads TCP streams from capture files and writes traffic as
+// such. It captures nothing itself.
+package pcap
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"net/netip"
+	"time"
+
+	"github.com/gopacket/gopacket"
+	"github.com/gopacket/gopacket/layers"
+	"github.com/gopacket/gopacket/pcapgo"
+	"github.com/gopacket/gopacket/reassembly"
+)
+
+// Chunk is a piece of a stream, and when it was seen.
+type Chunk struct {
+	At   time.Time
+	Data []byte
+}
+
+// Stream is what one side of a TCP connection sent, in order.
+type Stream struct {
+	From, To netip.AddrPort
+	Chunks   []Chunk
+	Broken   bool // packets are missing; the chunks end before the gap
+}
+
+// Bytes is the whole of a stream.
+func (s *Stream) Bytes() []byte {
+	var b []byte
+	for i := range s.Chunks {
+		b = append(b, s.Chunks[i].Data...)
+	}
+	return b
+}
+
+// The errors of a file that cannot be read.
+var (
+	ErrForeign = errors.New("pcap: not a capture file")
+	ErrCut     = errors.New("pcap: the capture file is cut short")
+)
+
+// The bounds of what is kept in memory.
+const (
+	maxBytes = 256 << 20 // of all streams
+	maxPages = 16 << 10  // of out-of-order segments, 1,900 bytes each
+)
+
+// source is what both formats of a capture file offer.
+type source interface {
+	ReadPacketData() ([]byte, gopacket.CaptureInfo, error)
+	LinkType() layers.LinkType
+}
+
+// open tells the format by its first bytes.
+func open(r io.Reader) (source, error) {
+	in := bufio.NewReader(r)
+	magic, err := in.Peek(4)
+	if err != nil {
+		return nil, ErrForeign
+	}
+	var s source
+	switch binary.BigEndian.Uint32(magic) {
+	case 0x0a0d0d0a:
+		s, err = pcapgo.NewNgReader(in, pcapgo.DefaultNgReaderOptions)
+	case 0xa1b2c3d4, 0xd4c3b2a1, 0xa1b23c4d, 0x4d3cb2a1: // micro- and nanoseconds, in both orders
+		s, err = pcapgo.NewReader(in)
+	default:
+		return nil, ErrForeign
+	}
+	switch {
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
+		return nil, ErrCut
+	case err != nil:
+		return nil, fmt.Errorf("%w: %v", ErrForeign, err)
+	}
+	return s, nil
+}
+
+// Read returns the TCP streams of a capture file, in the order of their first
+// packets. Packets that are not TCP are passed over.
+func Read(r io.Reader) ([]*Stream, error) {
+	s, err := open(r)
+	if err != nil {
+		return nil, err
+	}
+	c := &collector{}
+	assembler := reassembly.NewAssembler(reassembly.NewStreamPool(c))
+	assembler.MaxBufferedPagesTotal = maxPages
+	link := s.LinkType()
+	for n := 0; ; n++ {
+		data, info, err := s.ReadPacketData()
+		if errors.Is(err, io.EOF) && len(data) == 0 {
+			break
+		}
+		if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+			return nil, fmt.Errorf("%w after %d packets", ErrCut, n)
+		}
+		if err != nil {
+			return nil, fmt.Errorf("pcap: packet %d: %w", n+1, err)
+		}
+		packet := gopacket.NewPacket(data, link, gopacket.Lazy)
+		network, tcp := packet.NetworkLayer(), packet.Layer(layers.LayerTypeTCP)
+		if network == nil || tcp == nil {
+			continue
+		}
+		context := seen(info)
+		assembler.AssembleWithContext(network.NetworkFlow(), tcp.(*layers.TCP), &context)
+		if c.bytes > maxBytes {
+			return nil, fmt.Errorf("pcap: over %d MB of TCP data", maxBytes>>20)
+		}
+	}
+	assembler.FlushAll()
+	return c.streams, nil
+}
+
+// seen gives the assembler the time of a packet.
+type seen gopacket.CaptureInfo
+
+func (s *seen) GetCaptureInfo() gopacket.CaptureInfo { return gopacket.CaptureInfo(*s) }
+
+// collector keeps what the assembler puts in order.
+type collector struct {
+	streams []*Stream
+	bytes   int
+}
+
+func (c *collector) New(network, transport gopacket.Flow, tcp *layers.TCP, _ reassembly.AssemblerContext) reassembly.Stream {
+	from, to := endpoint(network.Src(), uint16(tcp.SrcPort)), endpoint(network.Dst(), uint16(tcp.DstPort))
+	return &connection{c: c, sides: [2]*Stream{{From: from, To: to}, {From: to, To: from}}}
+}
+
+func endpoint(e gopacket.Endpoint, port uint16) netip.AddrPort {
+	address, _ := netip.AddrFromSlice(e.Raw()) // the zero address for what is not IP
+	return netip.AddrPortFrom(address.Unmap(), port)
+}
+
+// connection is one TCP connection; sides[0] sent the first packet.
+type connection struct {
+	c     *collector
+	sides [2]*Stream
+	known [2]bool
+}
+
+// Accept takes every segment; a capture may begin in the middle of a connection.
+func (k *connection) Accept(_ *layers.TCP, _ gopacket.CaptureInfo, _ reassembly.TCPFlowDirection, _ reassembly.Sequence, start *bool, _ reassembly.AssemblerContext) bool {
+	*start = true
+	return true
+}
+
+func (k *connection) ReassembledSG(sg reassembly.ScatterGather, _ reassembly.AssemblerContext) {
+	direction, _, _, skip := sg.Info()
+	i := 0
+	if direction == reassembly.TCPDirServerToClient {
+		i = 1
+	}
+	s := k.sides[i]
+	if !k.known[i] {
+		k.known[i] = true
+		k.c.streams = append(k.c.streams, s)
+	}
+	length, _ := sg.Lengths()
+	if skip > 0 && len(s.Chunks) > 0 {
+		s.Broken = true
+	}
+	if s.Broken || length == 0 {
+		return
+	}
+	k.c.bytes += length
+	s.Chunks = append(s.Chunks, Chunk{sg.CaptureInfo(0).Timestamp, bytes.Clone(sg.Fetch(length))})
+}
+
+func (k *connection) ReassemblyComplete(reassembly.AssemblerContext) bool { return true }
--- /dev/null
+++ b/internal/pcap/write.go
@@ -0,0 +1,118 @@
+package pcap
+
+import (
+	"fmt"
+	"io"
+	"net/netip"
+	"time"
+
+	"github.com/gopacket/gopacket"
+	"github.com/gopacket/gopacket/layers"
+	"github.com/gopacket/gopacket/pcapgo"
+)
+
+const (
+	segment  = 1460
+	snapshot = 65_535
+	window   = 65_535
+)
+
+// Writer writes TCP connections as a capture file of raw IP packets.
+type Writer struct {
+	out *pcapgo.Writer
+	buf gopacket.SerializeBuffer
+}
+
+// NewWriter writes the file's head to w.
+func NewWriter(w io.Writer) (*Writer, error) {
+	out := pcapgo.NewWriterNanos(w)
+	if err := out.WriteFileHeader(snapshot, layers.LinkTypeRaw); err != nil {
+		return nil, fmt.Errorf("pcap: %w", err)
+	}
+	return &Writer{out: out, buf: gopacket.NewSerializeBuffer()}, nil
+}
+
+// Conn is a connection that is being written.
+type Conn struct {
+	w    *Writer
+	ends [2]netip.AddrPort // client, server
+	next [2]uint32         // the sequence number that each sends next
+}
+
+// Open writes the handshake of a connection from client to server.
+func (w *Writer) Open(at time.Time, client, server netip.AddrPort) (*Conn, error) {
+	if client.Addr().Is4() != server.Addr().Is4() {
+		return nil, fmt.Errorf("pcap: %v and %v are of two families", client, server)
+	}
+	c := &Conn{w: w, ends: [2]netip.AddrPort{client, server}, next: [2]uint32{1000, 2000}}
+	if err := c.packet(at, 0, &layers.TCP{SYN: true}, nil); err != nil {
+		return nil, err
+	}
+	c.next[0]++
+	if err := c.packet(at, 1, &layers.TCP{SYN: true, ACK: true}, nil); err != nil {
+		return nil, err
+	}
+	c.next[1]++
+	return c, c.packet(at, 0, &layers.TCP{ACK: true}, nil)
+}
+
+// Send writes what the client sends, or the server.
+func (c *Conn) Send(at time.Time, byServer bool, data []byte) error {
+	for len(data) > 0 {
+		n := min(len(data), segment)
+		if err := c.packet(at, side(byServer), &layers.TCP{ACK: true, PSH: n == len(data)}, data[:n]); err != nil {
+			return err
+		}
+		c.next[side(byServer)] += uint32(n)
+		data = data[n:]
+	}
+	return nil
+}
+
+// Close writes the end of the connection, which the server begins or the client.
+func (c *Conn) Close(at time.Time, byServer bool) error {
+	for _, i := range []int{side(byServer), 1 - side(byServer)} {
+		if err := c.packet(at, i, &layers.TCP{FIN: true, ACK: true}, nil); err != nil {
+			return err
+		}
+		c.next[i]++
+	}
+	return c.packet(at, side(byServer), &layers.TCP{ACK: true}, nil)
+}
+
+func side(byServer bool) int {
+	if byServer {
+		return 1
+	}
+	return 0
+}
+
+// packet writes one segment from ends[i].
+func (c *Conn) packet(at time.Time, i int, tcp *layers.TCP, payload []byte) error {
+	from, to := c.ends[i], c.ends[1-i]
+	tcp.SrcPort, tcp.DstPort = layers.TCPPort(from.Port()), layers.TCPPort(to.Port())
+	tcp.Seq, tcp.Window = c.next[i], window
+	if tcp.ACK {
+		tcp.Ack = c.next[1-i]
+	}
+	var network interface {
+		gopacket.SerializableLayer
+		gopacket.NetworkLayer
+	}
+	if from.Addr().Is4() {
+		network = &layers.IPv4{Version: 4, TTL: 64, Protocol: layers.IPProtocolTCP,
+			SrcIP: from.Addr().AsSlice(), DstIP: to.Addr().AsSlice()}
+	} else {
+		network = &layers.IPv6{Version: 6, HopLimit: 64, NextHeader: layers.IPProtocolTCP,
+			SrcIP: from.Addr().AsSlice(), DstIP: to.Addr().AsSlice()}
+	}
+	if err := tcp.SetNetworkLayerForChecksum(network); err != nil {
+		return fmt.Errorf("pcap: %w", err)
+	}
+	options := gopacket.SerializeOptions{FixLengths: true, ComputeChecksums: true}
+	if err := gopacket.SerializeLayers(c.w.buf, options, network, tcp, gopacket.Payload(payload)); err != nil {
+		return fmt.Errorf("pcap: %w", err)
+	}
+	data := c.w.buf.Bytes()
+	return c.w.out.WritePacket(gopacket.CaptureInfo{Timestamp: at, CaptureLength: len(data), Length: len(data)}, data)
+}
--- /dev/null
+++ b/internal/replay/replay_test.go
@@ -0,0 +1,164 @@
+package replay
+
+import (
+	"bytes"
+	"fmt"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"kiteslip/internal/config"
+	"kiteslip/internal/frame"
+	"kiteslip/internal/pcap"
+	"kiteslip/internal/uwsgi"
+)
+
+const operator = `
+[machine]
+cores = 2
+listen = "127.0.0.1:8443"
+engine = "127.0.0.1:9300"
+[[team]]
+name = "red"
+requests_per_s = 100
+[[service]]
+name = "all"
+[[service.contract]]
+class = "look"
+effect = "repeatable"
+deadline_ms = 1000
+[[service.contract]]
+class = "note"
+effect = "keyed"
+deadline_ms = 1000
+window_ms = 3000
+`
+
+var (
+	origin = time.UnixMilli(1_764_576_000_000)
+	server = netip.MustParseAddrPort("127.0.0.1:8443")
+)
+
+// capture writes a connection for each list of pieces, ten milliseconds apart.
+func capture(t *testing.T, conns ...[][]byte) []*pcap.Stream {
+	t.Helper()
+	var file bytes.Buffer
+	w, err := pcap.NewWriter(&file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i, pieces := range conns {
+		c, err := w.Open(origin, netip.AddrPortFrom(server.Addr(), uint16(40000+i)), server)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for j, piece := range pieces {
+			if err := c.Send(origin.Add(time.Duration(j)*10*time.Millisecond), false, piece); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	return read(t, file.Bytes())
+}
+
+func read(t *testing.T, file []byte) []*pcap.Stream {
+	t.Helper()
+	streams, err := pcap.Read(bytes.NewReader(file))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return streams
+}
+
+// request is one frame, sent so many milliseconds after the origin.
+func request(stream uint32, class, key string, ms, timeout, work int) []byte {
+	fields := []frame.Field{{Name: "kind", Value: class}, {Name: "owner", Value: "red"}, {Name: "req", Value: fmt.Sprintf("%016x", stream)},
+		{Name: "ts", Value: fmt.Sprint(origin.UnixMilli() + int64(ms))}, {Name: "timeout", Value: fmt.Sprint(timeout)},
+		{Name: "ms", Value: fmt.Sprint(work)}, {Name: "need", Value: "16"}}
+	if key != "" {
+		fields = append(fields, frame.Field{Name: "opkey", Value: key})
+	}
+	return frame.AppendRequest(nil, stream, fields, []byte("body"))
+}
+
+func settings(t *testing.T) *config.Config {
+	t.Helper()
+	cfg, err := config.ParseOperator(operator, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return cfg
+}
+
+func TestFrames(t *testing.T) {
+	first := request(1, "look", "", 0, 900, 50)
+	streams := capture(t, [][]byte{
+		first[:9], append(first[9:], request(2, "look", "", 10, 0, 50)...), // cut within a frame; the second is due already
+		request(3, "note", "k", 20, 900, 50), request(4, "note", "k", 30, 900, 50), // served once, and its repeat
+		request(5, "nil", "", 40, 900, 50), request(6, "look", "", 50, 200, 5000), // malformed; longer than its caller waits
+		first[:20], // unfinished
+	})
+	var out bytes.Buffer
+	r, err := Run(streams, settings(t), Options{Port: 8443, Write: &out})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r.Read != 5 || r.Served != 3 || r.Refused != 1 || r.Failed != 1 || r.Malformed != 1 || r.Unfinished != 1 || r.Connections != 1 {
+		t.Errorf("%+v", r)
+	}
+	// The capture that is written holds the same requests and one answer for each.
+	codes := map[uint32]byte{}
+	for _, s := range read(t, out.Bytes()) {
+		for b := s.Bytes(); s.From == server; {
+			f, n, err := frame.Split(b)
+			if err != nil || n == 0 {
+				break
+			}
+			codes[f.Stream] = f.Payload[0]
+			b = b[n:]
+		}
+	}
+	want := map[uint32]byte{1: frame.Served, 2: frame.Refused, 3: frame.Served, 4: frame.Served, 6: frame.Failed}
+	if fmt.Sprint(codes) != fmt.Sprint(want) {
+		t.Errorf("answers %v, want %v", codes, want)
+	}
+	again, err := Run(read(t, out.Bytes()), settings(t), Options{Port: 8443})
+	if err != nil || again != r {
+		t.Errorf("the written capture gives %+v, %v, want %+v", again, err, r)
+	}
+}
+
+func TestWeb(t *testing.T) {
+	packet := func(class, key, body string) []byte {
+		vars := []uwsgi.Var{{Name: uwsgi.VarClass, Value: class}, {Name: uwsgi.VarLength, Value: fmt.Sprint(len(body))}}
+		if key != "" {
+			vars = append(vars, uwsgi.Var{Name: uwsgi.VarKey, Value: key})
+		}
+		b, err := uwsgi.AppendRequest(nil, vars)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return append(b, body...)
+	}
+	p := packet("note", "k", strings.Repeat("x", 2000))
+	streams := capture(t, [][]byte{p[:30], p[30:1900], p[1900:]}, [][]byte{p}, [][]byte{p[:50]},
+		[][]byte{packet("nil", "", "")}, [][]byte{packet("look", "", strings.Repeat("x", 2049))}, [][]byte{packet("look", "", "")})
+	var out bytes.Buffer
+	r, err := Run(streams, settings(t), Options{Port: 8443, Web: true, Write: &out})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r.Read != 3 || r.Served != 3 || r.Malformed != 2 || r.Unfinished != 1 || r.Connections != 6 {
+		t.Errorf("%+v", r)
+	}
+	if n := bytes.Count(out.Bytes(), []byte("HTTP/1.1 200 OK")); n != 3 {
+		t.Errorf("%d answers are written", n)
+	}
+}
+
+func TestOtherPort(t *testing.T) {
+	if _, err := Run(capture(t, [][]byte{[]byte("x")}), settings(t), Options{Port: 1}); err == nil || !strings.Contains(err.Error(), "port 1") {
+		t.Errorf("%v", err)
+	}
+}
--- a/internal/server/session.go
+++ b/internal/server/session.go
@@ -142,21 +142,8 @@
 	if f.gone {
 		return
 	}
-	switch a.Code {
-	case core.Served:
-		f.put(frame.Answer, stream, frame.Served, nil, a.Result)
-	case core.Refused:
-		var fields []frame.Field
-		if a.HoldOff > 0 {
-			fields = append(fields, frame.Field{Name: "holdoff", Value: strconv.FormatInt((a.HoldOff+999)/1000, 10)})
-		}
-		if a.NoMore {
-			fields = append(fields, frame.Field{Name: "nomore", Value: "1"})
-		}
-		f.put(frame.Answer, stream, frame.Refused, fields, nil)
-	default:
-		f.put(frame.Answer, stream, frame.Failed, nil, nil)
-	}
+	code, fields, body := frame.Final(&a)
+	f.put(frame.Answer, stream, code, fields, body)
 }
 
 // health answers a check: as stored, or once the engine has done some work.
