Follow the module's advice on idle connections, and guard closed ones

Seen by reading, with a test each where one can be had: engineConn.flush wrote to its connection even if that had been closed in the same round, when the system may have given the descriptor to another one; two deep checks on one connection shared one stream (TestDeepChecks); the module's Idle action was dropped (TestIdleConnectionsAreSentAway); the core would have handed a clock that was set back to the module, which asks for one that only advances; answered requests kept for their result held on to their connection.

Idle connections get GOAWAY, so the caller closes them and nothing can be lost in between.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -138,6 +138,7 @@
 	acts    []kiteslip.Action
 	gauges  kiteslip.Gauges
 	started bool
+	now     int64 // of the last step
 	drainAt int64
 	good    bool
 	stored  bool
@@ -336,6 +337,8 @@
 // and carries out what comes back. What an action brings about at once (the
 // result of a repeat) is handed over before Step returns.
 func (c *Core) Step(now int64) {
+	now = max(now, c.now) // the system's clock may be set back; the module's only advances
+	c.now = now
 	kept := c.timers[:0]
 	for _, t := range c.timers {
 		if t.at > now {
@@ -499,12 +502,15 @@
 	default:
 		c.counts.Failed++
 	}
+	from := r.From
 	c.settle(r)
-	r.From.Answer(r.Stream, a)
+	from.Answer(r.Stream, a)
 }
 
+// settle notes that nothing is owed for r any longer. What r came through is
+// let go: r itself may be kept for its result.
 func (c *Core) settle(r *Request) {
-	r.answered = true
+	r.answered, r.From = true, nil
 	c.owed--
 }
 
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -29,19 +29,20 @@
 )
 
 const (
-	spareSockets  = 64         // descriptors kept for the loop, the engine, the registry and accepting
-	readBuffer    = 64 << 10   // of the loop, shared by all connections
-	outMost       = 256 << 10  // what a slow reader may leave unread before its connection is closed
-	iovMost       = 512        // slices of one gathered write, under the system's 1,024
-	redial        = 50_000     // between tries to reach the engine
-	gaugeEvery    = 10_000     // between two questions for the gauges while requests are in hand
-	lingerClose   = 250_000    // from GOAWAY to the exit: what crosses it comes within 50 ms
-	answerTime    = 1_450_000  // kept for answers between GOAWAY and the stop
-	exitMargin    = 150_000    // the process is gone this long before the stop, whatever is left
-	heldDivisor   = 8          // part of the memory that half-read frames may take
-	bigBuffer     = 16 << 10   // ... above which a connection that holds more is closed
-	expireEvery   = 20_000     // between two looks for what has run out of time
-	statusSeconds = 10_000_000 // between two lines of totals in the log
+	spareSockets = 64         // descriptors kept for the loop, the engine, the registry and accepting
+	readBuffer   = 64 << 10   // of the loop, shared by all connections
+	outMost      = 256 << 10  // what a slow reader may leave unread before its connection is closed
+	iovMost      = 512        // slices of one gathered write, under the system's 1,024
+	redial       = 50_000     // between tries to reach the engine
+	gaugeEvery   = 10_000     // between two questions for the gauges while requests are in hand
+	lingerClose  = 250_000    // from GOAWAY to the exit: what crosses it comes within 50 ms
+	answerTime   = 1_450_000  // kept for answers between GOAWAY and the stop
+	exitMargin   = 150_000    // the process is gone this long before the stop, whatever is left
+	heldDivisor  = 8          // part of the memory that half-read frames may take
+	bigBuffer    = 16 << 10   // ... above which a connection that holds more is closed
+	expireEvery  = 20_000     // between two looks for what has run out of time
+	idleEvery    = 100_000    // between two looks for idle connections
+	statusEvery  = 10_000_000 // between two lines of totals in the log
 )
 
 // handler is what a connection's bytes are given to.
@@ -90,11 +91,19 @@
 	webs     int    // open connections of the uwsgi front
 	webID    uint64 // names the requests of the uwsgi front
 	expireAt int64
+	idleAt   int64
 
-	checks  map[string]*session // deep health checks that wait for the engine
+	health  func() (good, stored bool)
+	checks  map[string]check // deep health checks that wait for the engine, by tag
 	checkID int
 }
 
+// check is a deep health check that waits for the engine.
+type check struct {
+	from   *session
+	stream uint32
+}
+
 // now is the system's Unix clock in microseconds.
 func now() int64 { return time.Now().UnixMicro() }
 
@@ -102,7 +111,7 @@
 func New(cfg *config.Config, log *zap.Logger) (*Server, error) {
 	s := &Server{
 		cfg: cfg, log: log, up: make(chan struct{}), done: make(chan error, 1),
-		sessions: map[handler]struct{}{}, checks: map[string]*session{},
+		sessions: map[handler]struct{}{}, checks: map[string]check{},
 		backends: map[*backendConn]struct{}{},
 		slots:    make(chan struct{}, max(8, cfg.Limits.Sockets-spareSockets)),
 		names:    &frame.Names{Classes: map[string]int{}, Tenants: map[string]int{}},
@@ -131,7 +140,11 @@
 		Module: cfg.Module, Seed: cfg.Seed,
 		Log: func(line string) { log.Info("module", zap.String("says", line)) },
 	}, s)
-	return s, err
+	if err != nil {
+		return nil, err
+	}
+	s.health = s.core.Health
+	return s, nil
 }
 
 // Serve serves until the drain is over or something that it cannot do without fails.
@@ -358,6 +371,7 @@
 	s.core.Step(t)
 	s.flush()
 	s.expire(t)
+	s.closeIdle(t)
 	s.leave(t)
 	s.report(t)
 	s.arm()
@@ -389,6 +403,23 @@
 	}
 }
 
+// closeIdle asks callers to close the connections that have carried nothing for
+// as long as the module says. They close them themselves, so that no request
+// can cross; one that never carried a request, as for health checks, is left alone.
+func (s *Server) closeIdle(t int64) {
+	after := s.core.IdleAfter()
+	if after == 0 || after >= s.cfg.Module.IdleAfter || t < s.idleAt {
+		return
+	}
+	s.idleAt = t + idleEvery
+	for h := range s.sessions {
+		if f, ok := h.(*session); ok && f.highest > 0 && len(f.open) == 0 && t-f.usedAt >= after {
+			f.goAway()
+		}
+	}
+	s.flush()
+}
+
 // report tells the registry, and now and then the log, how things are.
 func (s *Server) report(t int64) {
 	if t >= s.reportAt {
@@ -401,7 +432,7 @@
 		}
 	}
 	if t >= s.logAt {
-		s.logAt = t + statusSeconds
+		s.logAt = t + statusEvery
 		s.status()
 	}
 }
@@ -496,9 +527,10 @@
 
 // Tested takes in the end of a deep health check's work.
 func (s *Server) Tested(tag string, ok bool) {
-	if f := s.checks[tag]; f != nil {
+	if c, waits := s.checks[tag]; waits {
 		delete(s.checks, tag)
-		f.checked(ok)
+		good, _ := s.health()
+		c.from.verdict(c.stream, ok && good)
 	}
 }
 
@@ -507,6 +539,7 @@
 	s    *Server
 	conn gnet.Conn
 	out  [][]byte
+	gone bool
 }
 
 func (e *engineConn) opened(c gnet.Conn) {
@@ -523,6 +556,7 @@
 }
 
 func (e *engineConn) closed() {
+	e.gone = true
 	e.s.link.Lost()
 	for tag := range e.s.checks {
 		e.s.Tested(tag, false)
@@ -541,8 +575,12 @@
 	e.s.schedule()
 }
 
+// flush writes what waits. Guards the descriptor of a closed connection, which
+// the system may have given to another one already.
 func (e *engineConn) flush() {
-	e.out = gather(e.conn, e.out)
+	if !e.gone {
+		e.out = gather(e.conn, e.out)
+	}
 }
 
 // gather writes the parts in as few system calls as they fit into, and
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -20,7 +20,7 @@
   {"name": "note", "effect": "by_key", "on_time_us": 2000000, "hard_limit_us": 4000000, "worth": 4, "window_us": 9000000}],
  "tenants": [{"name": "red", "quota_per_s": 500}, {"name": "blue", "quota_per_s": 500}],
  "ceilings": {"max_retry_after_us": 1000000, "retry_after": true},
- "family_info": {"cores": 8, "memory_kb": 400000, "blowup": 4, "key_kb": 8, "gauges": ["cpu_busy", "runnable"]},
+ "family_info": {"cores": 8, "memory_kb": 400000, "blowup": 4, "key_kb": 8, "idle_us": 60000000, "callers": 4, "gauges": ["cpu_busy", "runnable"]},
  "rules": {"answer_slack_us": 60000, "drain_grace_us": 2000000, "fall_multiple": 8, "fall_us": 1500000},
  "goal": {"whole": 1}, "tick_us": 4000, "group_size": 1}`
 
--- a/internal/server/session.go
+++ b/internal/server/session.go
@@ -22,8 +22,8 @@
 	out     [][]byte
 	away    bool
 	gone    bool
-	held    int    // bytes of a frame that is not whole yet
-	check   uint32 // the stream of a deep health check
+	held    int   // bytes of a frame that is not whole yet
+	usedAt  int64 // when it last carried anything
 }
 
 func newSession(s *Server) *session {
@@ -45,8 +45,8 @@
 		f.s.core.Gone(r)
 	}
 	clear(f.open)
-	for tag, other := range f.s.checks {
-		if other == f {
+	for tag, c := range f.s.checks {
+		if c.from == f {
 			delete(f.s.checks, tag)
 		}
 	}
@@ -54,6 +54,7 @@
 
 // feed takes in all whole frames of b.
 func (f *session) feed(b []byte) (int, error) {
+	f.usedAt = now()
 	used := 0
 	for {
 		fr, n, err := frame.Split(b[used:])
@@ -156,29 +157,25 @@
 	for name, value := range fields.All {
 		deep = deep || string(name) == "real" && string(value) == "1"
 	}
-	good, stored := f.s.core.Health()
+	good, stored := f.s.health()
 	if !deep || stored || !good {
 		f.verdict(fr.Stream, good)
 		return nil
 	}
 	f.s.checkID++
 	tag := strconv.Itoa(f.s.checkID)
-	f.check = fr.Stream
 	if !f.s.link.Test(tag) {
 		f.verdict(fr.Stream, false)
 		return nil
 	}
-	f.s.checks[tag] = f
+	f.s.checks[tag] = check{f, fr.Stream}
 	return nil
 }
 
-// checked takes in the end of a deep check's work.
-func (f *session) checked(ok bool) {
-	good, _ := f.s.core.Health()
-	f.verdict(f.check, ok && good)
-}
-
 func (f *session) verdict(stream uint32, good bool) {
+	if f.gone {
+		return
+	}
 	code := byte(frame.Bad)
 	if good {
 		code = frame.Good
@@ -205,6 +202,7 @@
 }
 
 func (f *session) write(part []byte) {
+	f.usedAt = now()
 	if len(f.out) == 0 {
 		f.s.dirty = append(f.s.dirty, f)
 	}
--- a/internal/server/session_test.go
+++ b/internal/server/session_test.go
@@ -254,3 +254,59 @@
 		}
 	}
 }
+
+// A deep check follows what the module says: as stored, or the engine's word.
+func TestDeepChecks(t *testing.T) {
+	engine := standin.NewEngine(t, standin.Echo(time.Millisecond))
+	r := start(t, engine.Address, "", "")
+	r.eventually(t, "the engine's link", r.link.Ready)
+	c := standin.Dial(t, r.frames)
+	deep := func(stream uint32) []byte {
+		return append(frame.AppendHead(nil, frame.Check, stream, 1+3+4+1), "\x01\x04real\x00\x011"...)
+	}
+	for i, state := range []struct{ good, stored, asks bool }{{true, true, false}, {false, true, false}, {true, false, true}, {false, false, false}} {
+		asked := 0
+		r.look(func() {
+			r.health = func() (bool, bool) { return state.good, state.stored }
+			asked = r.checkID
+		})
+		c.Write(append(deep(uint32(2*i+1)), deep(uint32(2*i+2))...)) // two at once keep their streams
+		seen := map[uint32]bool{}
+		for range 2 {
+			got, _ := c.Next()
+			seen[got.Stream] = true
+			if good := got.Code == frame.Good; got.Type != frame.Checked || good != state.good {
+				t.Errorf("%+v: %+v", state, got)
+			}
+		}
+		if !seen[uint32(2*i+1)] || !seen[uint32(2*i+2)] {
+			t.Errorf("%+v: streams %v", state, seen)
+		}
+		r.look(func() {
+			if asks := r.checkID > asked; asks != state.asks {
+				t.Errorf("%+v: the engine was asked: %v", state, asks)
+			}
+		})
+	}
+}
+
+// Where the module wants idle connections closed, callers are asked to.
+func TestIdleConnectionsAreSentAway(t *testing.T) {
+	engine := standin.NewEngine(t, standin.Echo(time.Millisecond))
+	r := start(t, engine.Address, "", "")
+	used, unused := standin.Dial(t, r.frames), standin.Dial(t, r.frames)
+	used.Send(1, standin.Fields("look", "red", "", 1, time.Second), "b")
+	if got, _ := used.Next(); got.Code != frame.Served {
+		t.Fatalf("%+v", got)
+	}
+	if got, ok := used.Next(); !ok || got.Type != frame.GoAway {
+		t.Errorf("%+v, want GOAWAY", got)
+	}
+	used.Send(2, standin.Fields("look", "red", "", 2, time.Second), "b") // it crosses
+	if got, ok := used.Next(); !ok || got.Code != frame.Served {
+		t.Errorf("what crosses GOAWAY: %+v", got)
+	}
+	if len(unused.Replies) > 0 {
+		t.Errorf("a connection without requests is sent away: %+v", <-unused.Replies)
+	}
+}
