Bound stamps by the clock, and end the sharing of reads on time

Seen by reading Core.Arrive and Core.prior: a stamp ahead of the clock moved the window of its key, so that a try with one ran a second time (TestStampAhead fails without the bound); a read's answer was shared until its entry ended rather than for the time that the site allows (TestReadsShareResult).

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -75,6 +75,7 @@
 	answered bool   // a final answer was given, or nobody waits for one
 	phase    phase
 	began    int64
+	endedAt  int64
 	outcome  kiteslip.Outcome // of its run, once over
 	result   []byte
 	copies   []*Request // wait for the result of this one
@@ -182,6 +183,8 @@
 	if class.Effect == kiteslip.Keyed && r.Key == "" {
 		return fmt.Errorf("a request of a keyed class has no key")
 	}
+	// Guards the window of a key: counted from a stamp ahead of the clock, it would end late or begin anew.
+	r.Arrived = min(r.Arrived, now)
 	c.nextID++
 	r.id = c.nextID
 	c.open[r.id], c.names[r.Name] = r, r
@@ -218,7 +221,7 @@
 	case e.kept != nil && r.Arrived <= e.until && e.kept.phase == held && !e.kept.answered:
 		return e.kept.id
 	case !keyed && e.kept != nil && r.Arrived <= e.until && (e.kept.phase == running ||
-		e.kept.phase == ended && e.kept.outcome == kiteslip.OK):
+		e.kept.phase == ended && e.kept.outcome == kiteslip.OK && r.Arrived <= e.kept.endedAt+c.set.Module.ReuseFor):
 		return e.kept.id
 	}
 	if keyed && (e == nil || e.ran == nil) {
@@ -246,7 +249,7 @@
 	if r.phase != running {
 		return
 	}
-	r.phase, r.outcome, r.result = ended, outcome, result
+	r.phase, r.outcome, r.result, r.endedAt = ended, outcome, result, r.began+elapsed
 	if e := c.table[r.entry]; outcome == kiteslip.Moot && e != nil && e.ran == r {
 		e.ran, e.guard = nil, 0 // proved never to have run
 	}
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -37,11 +37,13 @@
 
 type failer interface{ Fatalf(string, ...any) }
 
-func newBook(t failer) *book {
+func newBook(t failer) *book { return newBookOf(t, site()) }
+
+func newBookOf(t failer, module kiteslip.Settings) *book {
 	b := &book{t: t, now: 1_000_000_000, ran: map[*Request]bool{}, answers: map[*Request][]Answer{},
 		gone: map[*Request]bool{}, lastRun: map[string]*Request{}}
 	var err error
-	if b.core, err = New(Settings{Module: site(), Seed: 7}, b); err != nil {
+	if b.core, err = New(Settings{Module: module, Seed: 7}, b); err != nil {
 		t.Fatalf("%v", err)
 	}
 	b.core.Step(b.now)
@@ -294,3 +296,53 @@
 		t.Error("a keyed request without a key was taken")
 	}
 }
+
+// Where the site allows it, reads of one subject share an answer for a while.
+func TestReadsShareResult(t *testing.T) {
+	module := site()
+	module.ReuseFor = 200_000
+	b := newBookOf(t, module)
+	read := func(subject uint64) *Request {
+		r := b.arrive(0, "", 0, 1_500_000)
+		b.core.Gone(r) // only its shape is wanted: it is sent again with a subject
+		b.gone[r] = true
+		r = &Request{Name: r.Name + "s", Arrived: b.now, Due: b.now + 1_500_000, SizeKB: 20, Subject: subject, Body: []byte("body")}
+		r.From = caller{b, r}
+		if err := b.core.Arrive(b.now, r); err != nil {
+			t.Fatal(err)
+		}
+		b.sent = append(b.sent, r)
+		b.pass(10_000)
+		return r
+	}
+	first, during, other := read(1), read(1), read(2)
+	b.finish(0, kiteslip.OK)
+	b.pass(100_000)
+	after := read(1)
+	b.pass(300_000)
+	late := read(1)
+	for r, ran := range map[*Request]bool{first: true, during: false, other: true, after: false, late: true} {
+		if b.ran[r] != ran {
+			t.Errorf("%s of subject %d: ran %v, want %v", r.Name, r.Subject, b.ran[r], ran)
+		}
+	}
+	for _, r := range []*Request{first, during, after} {
+		if a := b.one(r); a.Code != Served {
+			t.Errorf("%s: %+v", r.Name, a)
+		}
+	}
+}
+
+// A stamp ahead of the clock does not move the window of its key.
+func TestStampAhead(t *testing.T) {
+	b := newBook(t)
+	b.arrive(1, "k", 0, 1_500_000)
+	b.pass(10_000)
+	b.finish(0, kiteslip.OK)
+	b.pass(10_000)
+	ahead := b.arrive(1, "k", -3_600_000_000, 1_500_000)
+	b.pass(10_000)
+	if a := b.one(ahead); b.ran[ahead] || a.Code != Served {
+		t.Errorf("ran %v, %+v", b.ran[ahead], a)
+	}
+}
--- a/internal/server/fronts_test.go
+++ b/internal/server/fronts_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"slices"
@@ -11,6 +12,8 @@
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"kiteslip/internal/frame"
 	"kiteslip/internal/standin"
 	"kiteslip/internal/uwsgi"
@@ -477,3 +480,45 @@
 		t.Errorf("outcomes %v: want the load before the drain served, and connections refused at its end", seen)
 	}
 }
+
+// A uwsgi connection, written in any pieces and left at any point: a whole
+// request is answered once, a part of one is never entered.
+func TestWebConnectionAgainstModel(t *testing.T) {
+	engine := standin.NewEngine(t, work)
+	r := start(t, engine.Address, "", operator(""))
+	r.eventually(t, "the engine's link", r.link.Ready)
+	whole := 0
+	rapid.Check(t, func(t *rapid.T) {
+		body := fmt.Sprint("quick ", strings.Repeat("x", rapid.IntRange(0, 58).Draw(t, "size")))
+		rest := standin.Packet(r.test, standin.Vars("look", "red", "", 2*time.Second), body)
+		c, err := net.Dial("tcp", r.web)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		stop := rapid.IntRange(0, 2*len(rest)).Draw(t, "leaves after") // half of them stay
+		for sent := 0; len(rest) > 0; {
+			n := rapid.IntRange(1, len(rest)).Draw(t, "piece")
+			if sent += n; sent > stop {
+				return
+			}
+			if _, err := c.Write(rest[:n]); err != nil {
+				t.Fatal(err)
+			}
+			rest = rest[n:]
+		}
+		whole++
+		c.SetDeadline(time.Now().Add(20 * time.Second)) //nolint:errcheck // a TCP connection takes it
+		answer, err := io.ReadAll(c)
+		if want := "did " + body; err != nil || !strings.HasPrefix(string(answer), "HTTP/1.1 200 OK\r\n") ||
+			!strings.HasSuffix(string(answer), "\r\n\r\n"+want) || strings.Count(string(answer), "HTTP/1.1") != 1 {
+			t.Fatalf("%q, %v", answer, err)
+		}
+	})
+	r.eventually(t, "all is freed", r.free)
+	r.look(func() {
+		if n := r.core.Counts(); n.Read != whole || n.Served != whole {
+			t.Errorf("%d whole requests, counts %+v", whole, n)
+		}
+	})
+}
