Reload the configuration on SIGHUP and move the engine link and reports

Ruled out: bad handling of the moved addresses, which was never reached (the log ends at the signal).

SIGHUP is now caught from the first line of serve on. The file is read and checked as a whole; a faulty one is logged and the old one kept. dial takes its address from the configuration that holds and gives way to a newer search; the link in use is kept until the new one stands, then its runs count as on a lost link and the replayed notices settle them.

TestReload fails without the change: the test process would not see the new addresses.

--- a/cmd/kiteslip/main.go
+++ b/cmd/kiteslip/main.go
@@ -59,6 +59,9 @@
 const memoryShare = 0.8
 
 func (c *serveCmd) Run() error {
+	// First of all: a SIGHUP that nobody takes ends the process.
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	cfg, err := load(c.Operator)
 	if err != nil {
 		return err
@@ -70,12 +73,11 @@
 	defer log.Sync() //nolint:errcheck // standard error cannot always be synced
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Limits.Cores))))
 	debug.SetMemoryLimit(int64(memoryShare * float64(cfg.Limits.MemoryMB) * (1 << 20)))
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	s, err := server.New(cfg, log)
 	if err != nil {
 		return err
 	}
+	s.Reload = func() (*config.Config, error) { return load(c.Operator) }
 	return s.Serve(signals)
 }
 
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -29,11 +29,12 @@
 )
 
 const (
-	spareSockets = 64         // descriptors kept for the loop, the engine, the registry and accepting
-	readBuffer   = 64 << 10   // of the loop, shared by all connections
-	outMost      = 256 << 10  // what a slow reader may leave unread before its connection is closed
-	iovMost      = 512        // slices of one gathered write, under the system's 1,024
-	redial       = 50_000     // between tries to reach the engine
+	spareSockets = 64        // descriptors kept for the loop, the engine, the registry and accepting
+	readBuffer   = 64 << 10  // of the loop, shared by all connections
+	outMost      = 256 << 10 // what a slow reader may leave unread before its connection is closed
+	iovMost      = 512       // slices of one gathered write, under the system's 1,024
+	redial       = 50_000    // between tries to reach the engine
+	dialMost     = time.Second
 	gaugeEvery   = 10_000     // between two questions for the gauges while requests are in hand
 	lingerClose  = 250_000    // from GOAWAY to the exit: what crosses it comes within 50 ms
 	answerTime   = 1_450_000  // kept for answers between GOAWAY and the stop
@@ -61,6 +62,10 @@
 	core   *core.Core
 	link   *engine.Link
 	beacon *registry.Beacon
+	engine *engineConn  // the link in use; nil while there is none
+	dials  atomic.Int64 // numbers the searches for the engine; only the latest counts
+	// Reload reads the configuration anew, for SIGHUP; nil = what was read at the start stays.
+	Reload func() (*config.Config, error)
 	names  *frame.Names
 	client *gnet.Client
 	loop   gnet.EventLoop
@@ -117,10 +122,8 @@
 		names:    &frame.Names{Classes: map[string]int{}, Tenants: map[string]int{}},
 	}
 	room := max(8, cfg.Limits.Sockets-spareSockets)
-	for _, backend := range cfg.Backends {
-		if backend != "" && s.calls == 0 {
-			s.calls = room / 4
-		}
+	if uses(cfg.Backends) {
+		s.calls = room / 4
 	}
 	s.slots = make(chan struct{}, room-s.calls)
 	safe := make([]bool, len(cfg.Classes))
@@ -157,7 +160,12 @@
 	if err = s.client.Start(); err != nil {
 		return err
 	}
-	defer s.client.Stop() //nolint:errcheck // nothing is left to be done about it
+	defer func() {
+		s.client.Stop() //nolint:errcheck // nothing is left to be done about it
+		if s.beacon != nil {
+			s.beacon.Close()
+		}
+	}()
 	if err = s.findLoop(); err != nil {
 		return err
 	}
@@ -165,7 +173,6 @@
 		if s.beacon, err = registry.Dial(s.cfg.Registry, s.cfg.Name); err != nil {
 			return err
 		}
-		defer s.beacon.Close()
 	}
 	if err = s.Listen(); err != nil {
 		return err
@@ -176,9 +183,7 @@
 		s.round()
 	})
 	close(s.up)
-	if s.cfg.Engine != "" {
-		go s.dial()
-	}
+	s.onLoop(s.reach)
 	for _, l := range s.listeners {
 		go s.accept(l)
 	}
@@ -187,6 +192,10 @@
 	for {
 		select {
 		case sig := <-signals:
+			if sig == unix.SIGHUP {
+				s.reload()
+				continue
+			}
 			s.onLoop(func() { s.drain(sig.String()) })
 		case err := <-s.done:
 			return err
@@ -289,12 +298,22 @@
 	}
 }
 
-// dial reaches for the engine until a link stands.
-func (s *Server) dial() {
-	for !s.over.Load() {
-		c, err := net.Dial("tcp", s.cfg.Engine)
+// reach starts the search for the engine at the address that holds now. A
+// search that is still under way for another address ends.
+func (s *Server) reach() {
+	if s.cfg.Engine != "" {
+		go s.dial(s.dials.Add(1), s.cfg.Engine)
+	}
+}
+
+// dial tries to reach the engine until a link stands or another search begins.
+func (s *Server) dial(search int64, address string) {
+	for !s.over.Load() && s.dials.Load() == search {
+		ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(dialMost))
+		c, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+		cancel()
 		if err == nil {
-			if _, err = s.client.EnrollContext(c, &engineConn{s: s}); err == nil {
+			if _, err = s.client.EnrollContext(c, &engineConn{s: s, search: search}); err == nil {
 				return
 			}
 		}
@@ -425,6 +444,9 @@
 	if t >= s.reportAt {
 		s.reportAt = t + registry.Interval
 		s.link.Expire()
+		if s.beacon == nil && s.cfg.Registry != "" {
+			s.reregister()
+		}
 		if s.beacon != nil {
 			if err := s.beacon.Report(s.core.Draining()); err != nil {
 				s.log.Debug("registry", zap.Error(err))
@@ -536,18 +558,45 @@
 
 // engineConn is the connection to the engine.
 type engineConn struct {
-	s    *Server
-	conn gnet.Conn
-	out  [][]byte
-	gone bool
+	s      *Server
+	conn   gnet.Conn
+	search int64 // that found it
+	out    [][]byte
+	gone   bool
 }
 
+// opened takes the connection into use in place of the one before, which the
+// engine no longer minds. What that one still had to say is said again here.
 func (e *engineConn) opened(c gnet.Conn) {
 	e.conn = c
+	if e.search != e.s.dials.Load() {
+		e.s.onLoop(e.hangUp) // the engine has moved meanwhile
+		return
+	}
+	old := e.s.engine
+	if old != nil {
+		old.flush()
+		e.s.lost()
+	}
+	e.s.engine = e
 	e.s.link.Attach(e.send)
+	if old != nil {
+		old.hangUp()
+	}
+}
+
+func (e *engineConn) hangUp() {
+	if !e.gone {
+		e.conn.EventLoop().Close(e.conn) //nolint:errcheck // it is gone either way
+	}
 }
 
+// feed takes in notices. Guards against those that a replaced link still
+// brings: the same ones come on the link in use, under the same numbers.
 func (e *engineConn) feed(b []byte) (int, error) {
+	if e.s.engine != e {
+		return len(b), nil
+	}
 	n, err := e.s.link.Feed(b)
 	if err != nil {
 		e.s.log.Error("engine", zap.Error(err))
@@ -557,13 +606,22 @@
 
 func (e *engineConn) closed() {
 	e.gone = true
-	e.s.link.Lost()
-	for tag := range e.s.checks {
-		e.s.Tested(tag, false)
+	if e.s.engine != e {
+		return
 	}
+	e.s.engine = nil
+	e.s.lost()
 	if !e.s.over.Load() {
 		e.s.log.Warn("the link to the engine is gone", zap.Int("running", e.s.link.Running()))
-		go e.s.dial()
+		e.s.reach()
+	}
+}
+
+// lost takes in the end of the link in use; deep checks that wait for it fail.
+func (s *Server) lost() {
+	s.link.Lost()
+	for tag := range s.checks {
+		s.Tested(tag, false)
 	}
 }
 
--- a/internal/standin/callers.go
+++ b/internal/standin/callers.go
@@ -33,7 +33,7 @@
 // NewBackend starts a uwsgi server.
 func NewBackend(t testing.TB, work func(body string) Work) *Backend {
 	b := &Backend{bodies: map[string]int{}}
-	b.Address = listen(t, func(c net.Conn) {
+	b.Address, _ = listen(t, func(c net.Conn) {
 		defer c.Close()
 		body, err := readPacket(c)
 		if err != nil {
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -32,6 +32,7 @@
 type Engine struct {
 	Address string
 	work    func(body string) Work
+	stop    func() // takes no new link at Address
 
 	mu      sync.Mutex
 	link    net.Conn
@@ -43,12 +44,12 @@
 // NewEngine starts an engine that is up and does work.
 func NewEngine(t testing.TB, work func(body string) Work) *Engine {
 	e := &Engine{work: work, bodies: map[string]int{}, live: map[string]bool{}}
-	e.Address = listen(t, e.serve)
+	e.Address, e.stop = listen(t, e.serve)
 	return e
 }
 
-// listen starts a listener that lives as long as the test.
-func listen(t testing.TB, serve func(net.Conn)) string {
+// listen starts a listener that lives until it is stopped or the test ends.
+func listen(t testing.TB, serve func(net.Conn)) (address string, stop func()) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -64,7 +65,7 @@
 			go serve(c)
 		}
 	}()
-	return l.Addr().String()
+	return l.Addr().String(), func() { l.Close() }
 }
 
 func (e *Engine) serve(c net.Conn) {
@@ -137,6 +138,13 @@
 	})
 }
 
+// Move gives the engine another address; the old one takes nothing new. Runs
+// and notices go on, and an open link stays until the server replaces it.
+func (e *Engine) Move(t testing.TB) {
+	e.stop()
+	e.Address, e.stop = listen(t, e.serve)
+}
+
 // Cut ends the link; the server may attach again.
 func (e *Engine) Cut() {
 	e.mu.Lock()
