Let idle connections make room, and cut off clients that miscount

Ruled out: the module (few refusals, nothing in hand), the processor (0.1 s in a second at most), memory (12 of 48 MB).

At fault: accept in server.go waits for slots that only callers could give back; feed keeps half a frame for ever; request in session.go answered a second request on one number and the 33rd open one but ran the others; and prior in core.go gave the result of a key to a request with another body. Stamps of any age reached the module's means, so one bad stamp could make it believe that requests wait for hours.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -8,6 +8,7 @@
 
 import (
 	"fmt"
+	"hash/maphash"
 
 	"kiteslip"
 )
@@ -71,6 +72,7 @@
 	From    Answerer
 
 	id       kiteslip.RequestID
+	sum      uint64 // of the body, in keyed classes
 	entry    string // its place in the key table, "" for none
 	answered bool   // a final answer was given, or nobody waits for one
 	phase    phase
@@ -106,6 +108,13 @@
 // that came to the machine in time and were read late.
 const lateRead = 2_000_000
 
+// stampAhead is how far a caller's clock may be ahead of this one, and
+// patienceMost how many times the class's deadline a caller may say it waits.
+const (
+	stampAhead   = 5_000_000
+	patienceMost = 2
+)
+
 // dueMargin is how long before its due time a request is answered if the
 // module has not done so.
 const dueMargin = 2_000
@@ -144,6 +153,7 @@
 	good    bool
 	stored  bool
 	idle    int64
+	hash    maphash.Seed
 	sweepAt int64
 	dueAt   int64
 	counts  Counts
@@ -165,7 +175,7 @@
 		set.Log = func(string) {}
 	}
 	return &Core{
-		set: set, worker: worker, runner: runner, good: true, stored: true,
+		set: set, worker: worker, runner: runner, good: true, stored: true, hash: maphash.MakeSeed(),
 		open: map[kiteslip.RequestID]*Request{}, names: map[string]*Request{}, table: map[string]*entry{},
 	}, nil
 }
@@ -173,15 +183,35 @@
 // Warmth tells when the machine's cores came up, and whether they were cold then.
 func (c *Core) Warmth(cold bool, since int64) { c.worker.Warmth(cold, since) }
 
-// Arrive takes in a request that was read at now. An error means that the
-// request was not taken and nothing is owed for it by the Core.
+// Arrive takes in a request that was read at now; it may be answered before
+// Arrive returns. An error means that the request was not taken and nothing is
+// owed for it by the Core.
 func (c *Core) Arrive(now int64, r *Request) error {
 	if c.names[r.Name] != nil {
 		return fmt.Errorf("the id %q names an open request", r.Name)
 	}
 	class := &c.set.Module.Classes[r.Class]
-	if class.Effect == kiteslip.Keyed && r.Key == "" {
+	// Guards what the module learns, of the time to be read and of patience,
+	// against figures that no caller of this site can mean.
+	switch {
+	case class.Effect == kiteslip.Keyed && r.Key == "":
 		return fmt.Errorf("a request of a keyed class has no key")
+	case r.Arrived > now+stampAhead:
+		return fmt.Errorf("the stamp lies %d ms ahead of the clock", (r.Arrived-now)/1000)
+	case r.Due-r.Arrived > patienceMost*class.Limit:
+		return fmt.Errorf("a wait of %d ms, where clients wait %d", (r.Due-r.Arrived)/1000, class.Limit/1000)
+	case r.Due <= now:
+		c.tooLate(r)
+		return nil
+	}
+	if class.Effect == kiteslip.Keyed {
+		r.entry = fmt.Sprint(r.Class, "/", r.Key)
+		r.sum = maphash.Bytes(c.hash, r.Body)
+		if c.foreign(r) {
+			return fmt.Errorf("the key %.40q belongs to a request with another body", r.Key)
+		}
+	} else if class.Effect == kiteslip.Repeatable && r.Subject != 0 && c.set.Module.ReuseFor > 0 {
+		r.entry = fmt.Sprint(r.Class, ":", r.Subject)
 	}
 	// Guards the window of a key: counted from a stamp ahead of the clock, it would end late or begin anew.
 	r.Arrived = min(r.Arrived, now)
@@ -193,12 +223,6 @@
 	if c.dueAt == 0 || r.Due-dueMargin < c.dueAt {
 		c.dueAt = r.Due - dueMargin
 	}
-	switch {
-	case class.Effect == kiteslip.Keyed:
-		r.entry = fmt.Sprint(r.Class, "/", r.Key)
-	case class.Effect == kiteslip.Repeatable && r.Subject != 0 && c.set.Module.ReuseFor > 0:
-		r.entry = fmt.Sprint(r.Class, ":", r.Subject)
-	}
 	c.events = append(c.events, kiteslip.Event{
 		Kind: kiteslip.Arrive, ID: r.id, Prior: c.prior(now, r), Class: r.Class, Tenant: r.Tenant,
 		Sender: r.Caller, Key: r.Subject, Deadline: r.Due, Waited: max(0, now-r.Arrived), Hint: r.Hint,
@@ -207,6 +231,31 @@
 	return nil
 }
 
+// tooLate answers a request whose caller had given up when it was read.
+func (c *Core) tooLate(r *Request) {
+	c.counts.Read++
+	c.owed++
+	r.phase = dropped
+	if c.set.Module.Classes[r.Class].Effect == kiteslip.Repeatable {
+		c.answer(r, Answer{Code: Refused})
+	} else { // another try may have run
+		c.answer(r, Answer{Code: Failed, Cause: Overdue})
+	}
+}
+
+// foreign says whether the key of r stands for another request. Guards the
+// meaning of 'served': the result of that one was not made for this body.
+func (c *Core) foreign(r *Request) bool {
+	e := c.table[r.entry]
+	switch {
+	case e == nil:
+		return false
+	case e.ran != nil && r.Arrived <= max(e.guard, e.until):
+		return e.ran.sum != r.sum
+	}
+	return e.kept != nil && e.kept.phase == held && !e.kept.answered && e.kept.sum != r.sum
+}
+
 // prior finds the request that r repeats, and enters r where there is none.
 func (c *Core) prior(now int64, r *Request) kiteslip.RequestID {
 	if r.entry == "" {
--- a/internal/frame/request.go
+++ b/internal/frame/request.go
@@ -24,6 +24,7 @@
 	maxNeedKB  = 2_000
 	maxWorkMS  = 3_600_000
 	maxKey     = 128
+	maxStamp   = 1 << 43 // ms: some centuries; sums of times cannot overflow
 )
 
 // ParseRequest reads the payload of a request. What it returns shares no
@@ -47,7 +48,7 @@
 		case "req":
 			r.Name, ok = string(value), hex16(value)
 		case "ts":
-			r.Arrived, ok = whole(value, math.MaxInt64/1000)
+			r.Arrived, ok = whole(value, maxStamp)
 			r.Arrived *= 1000
 		case "via":
 			var via int64
@@ -64,9 +65,10 @@
 			r.Hint = int64(ms * 1000)
 		case "need":
 			r.SizeKB, ok = decimal(value, 0, maxNeedKB)
-			ok = ok && r.SizeKB > 0
+			ok = ok && r.SizeKB > 0 && r.SizeKB < maxNeedKB
 		case "level":
 			r.Rank, ok = decimal(value, 0, 1)
+			ok = ok && r.Rank < 1
 		case "opkey":
 			r.Key, ok = string(value), len(value) > 0 && len(value) <= maxKey
 		case "subject":
--- /dev/null
+++ b/internal/server/seats.go
@@ -0,0 +1,134 @@
+package server
+
+import (
+	"cmp"
+	"errors"
+	"slices"
+
+	"github.com/panjf2000/gnet/v2"
+	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
+)
+
+// Connections are few, and a caller that never lets go of one must not keep
+// others out: each has to bring something soon, and while free places are
+// short, those that carry nothing make room.
+const (
+	firstWord  = 2_000_000 // for the first whole frame, and for the rest of one that has begun
+	awayLinger = 1_000_000 // from GOAWAY to the close by us, once nothing is open
+	settled    = 100_000   // a connection that carries nothing for less than this is never closed for its place
+	freeShare  = 8         // this part of the places is kept free
+	tidyEvery  = 20_000    // between two looks
+	unsentPart = 8         // part of the memory that answers not taken yet may fill
+)
+
+var (
+	errSilent = errors.New("nothing that can be answered has come in time")
+	errPart   = errors.New("the rest of a frame has not come in time")
+)
+
+// idle is what a connection says of itself when places are short.
+type idle struct {
+	since  int64 // when it last carried anything; 0 = it is in use
+	served bool  // it was given an answer before
+}
+
+// tidy closes connections that hold a place, memory or a caller's hope for nothing.
+func (s *Server) tidy(t int64) {
+	if t < s.tidyAt {
+		return
+	}
+	s.tidyAt = t + tidyEvery
+	after := s.core.IdleAfter()
+	if after == 0 {
+		after = s.cfg.Module.IdleAfter
+	}
+	unsent := 0
+	for h := range s.sessions {
+		unsent += h.unsent()
+		f, ok := h.(*session)
+		if !ok {
+			continue // the uwsgi front has times of its own, see expire
+		}
+		at := f.idle()
+		switch {
+		case f.partAt != 0 && t-f.partAt >= firstWord:
+			f.end(errPart)
+		case at.since == 0:
+		case !at.served && t-f.openedAt >= firstWord:
+			f.end(errSilent)
+		case f.away && t-max(at.since, f.awayAt) >= awayLinger:
+			hangUp(f.conn)
+		case !f.away && after > 0 && t-at.since >= after && (f.highest > 0 || t-at.since >= s.cfg.Module.IdleAfter):
+			f.goAway() // the caller closes, so that no request can cross
+		}
+	}
+	s.flush()
+	if unsent > s.cfg.Limits.MemoryMB<<20/unsentPart {
+		s.closeSlowest()
+	}
+	s.makeRoom(t)
+}
+
+// makeRoom closes idle connections until a part of the places is free: first
+// those that never brought a thing, then those idle for longest. Guards
+// against clients that connect and hold on, until callers are not let in.
+func (s *Server) makeRoom(t int64) {
+	short := cap(s.slots)/freeShare - (cap(s.slots) - len(s.slots))
+	if short <= 0 {
+		return
+	}
+	type place struct {
+		idle
+		h handler
+	}
+	var places []place
+	for h := range s.sessions {
+		if at := h.idle(); at.since != 0 && t-at.since >= settled {
+			places = append(places, place{at, h})
+		}
+	}
+	slices.SortFunc(places, func(a, b place) int {
+		if a.served != b.served {
+			if a.served {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Compare(a.since, b.since)
+	})
+	for _, p := range places {
+		if short == 0 {
+			return
+		}
+		if c := p.h.peer(); !unread(c) {
+			hangUp(c)
+			short--
+		}
+	}
+}
+
+// closeSlowest closes the connection that most answers wait for.
+func (s *Server) closeSlowest() {
+	var slowest handler
+	for h := range s.sessions {
+		if slowest == nil || h.unsent() > slowest.unsent() {
+			slowest = h
+		}
+	}
+	if slowest != nil {
+		s.log.Warn("closing", zap.Error(errSlow))
+		hangUp(slowest.peer())
+	}
+}
+
+// unread says whether bytes wait in the socket: a request may have come that the loop has not seen.
+func unread(c gnet.Conn) bool {
+	n, err := unix.IoctlGetInt(c.Fd(), unix.TIOCINQ)
+	return err == nil && n > 0
+}
+
+// hangUp closes a connection; its handler hears of it before hangUp returns.
+func hangUp(c gnet.Conn) {
+	c.EventLoop().Close(c) //nolint:errcheck // it is gone either way
+}
--- /dev/null
+++ b/internal/server/seats_test.go
@@ -0,0 +1,142 @@
+package server
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"kiteslip/internal/frame"
+	"kiteslip/internal/standin"
+)
+
+// More clients than there are places ask once and hold on, and as many say
+// nothing, on both fronts: each that asks is still let in and served.
+func TestHoldersMakeRoom(t *testing.T) {
+	engine := standin.NewEngine(t, standin.Echo(time.Millisecond))
+	r := start(t, engine.Address, "", "[uwsgi]\nlisten = \"127.0.0.1:0\"\n")
+	r.eventually(t, "the engine's link", r.link.Ready)
+	for i := range cap(r.slots) + 40 {
+		standin.Dial(t, r.frames) // stays
+		standin.Dial(t, r.web)    // stays too
+		c := standin.Dial(t, r.frames)
+		c.Send(1, standin.Fields("look", "red", "", uint64(i+1), 3*time.Second), "b")
+		if got, ok := c.Next(); !ok || got.Code != frame.Served {
+			t.Fatalf("client %d: %+v", i, got)
+		}
+	}
+	body := standin.Post(r.web, standin.Packet(t, standin.Vars("look", "red", "", 3*time.Second), "w"))
+	if body.Status != 200 {
+		t.Errorf("uwsgi: %+v", body)
+	}
+	r.look(func() {
+		if n := len(r.sessions); n > cap(r.slots)+1 {
+			t.Errorf("%d connections are open", n)
+		}
+	})
+}
+
+// What never becomes a request gets a word or a close within 3 s.
+func TestSilentClientsAreClosed(t *testing.T) {
+	engine := standin.NewEngine(t, standin.Echo(time.Millisecond))
+	r := start(t, engine.Address, "", "")
+	whole := frame.AppendRequest(nil, 1, standin.Fields("look", "red", "", 1, 3*time.Second), []byte("b"))
+	began := time.Now()
+	clients := map[string]*standin.Caller{}
+	for what, bytes := range map[string][]byte{
+		"nothing":          nil,
+		"half a request":   whole[:len(whole)/2],
+		"a cancel of none": frame.AppendHead(nil, frame.Cancel, 5, 0),
+	} {
+		clients[what] = standin.Dial(t, r.frames)
+		clients[what].Write(bytes)
+	}
+	for what, c := range clients {
+		for ok := true; ok; {
+			var got standin.Reply
+			if got, ok = c.Next(); ok && (got.Stream != 0 || got.Code != frame.Failed) {
+				t.Errorf("%s: %+v", what, got)
+			}
+		}
+		if took := time.Since(began); took > 2700*time.Millisecond {
+			t.Errorf("%s: the close came after %v", what, took)
+		}
+	}
+}
+
+// A client that uses a number twice, or has more open than it may, is cut off
+// before any of what it sent runs.
+func TestMiscountedStreamsRunNothing(t *testing.T) {
+	engine := standin.NewEngine(t, standin.Echo(300*time.Millisecond))
+	r := start(t, engine.Address, "", "")
+	r.eventually(t, "the engine's link", r.link.Ready)
+	for what, n := range map[string]int{"two under one number": 2, "too many": frame.MaxStreams + 1} {
+		c := standin.Dial(t, r.frames)
+		var out []byte
+		for i := range n {
+			stream := uint32(i + 1)
+			if n == 2 {
+				stream = 1
+			}
+			out = frame.AppendRequest(out, stream, standin.Fields("look", "red", "", uint64(100*n+i), 3*time.Second), []byte(what))
+		}
+		c.Write(out)
+		if got, ok := c.Next(); !ok || got.Stream != 0 || got.Code != frame.Failed {
+			t.Errorf("%s: %+v", what, got)
+		}
+		if got, ok := c.Next(); ok {
+			t.Errorf("%s: the connection goes on with %+v", what, got)
+		}
+	}
+	if runs := engine.Runs(); len(runs) > 0 {
+		t.Errorf("these ran: %v", runs)
+	}
+	r.eventually(t, "nothing is held", func() bool { n, _ := r.core.Held(); return n == 0 })
+}
+
+// A client that sends what cannot be read again and again is not listened to for ever.
+func TestFaultsAreBounded(t *testing.T) {
+	engine := standin.NewEngine(t, standin.Echo(time.Millisecond))
+	r := start(t, engine.Address, "", "")
+	c := standin.Dial(t, r.frames)
+	var out []byte
+	for i := range 2 * faultsMost {
+		out = frame.AppendRequest(out, uint32(i+1), standin.Fields("none", "red", "", uint64(i+1), time.Second), nil)
+	}
+	c.Write(out)
+	answers := 0
+	for got, ok := c.Next(); ok; got, ok = c.Next() {
+		if got.Code != frame.Failed {
+			t.Errorf("%+v", got)
+		}
+		answers++
+	}
+	if answers != faultsMost+1 {
+		t.Errorf("%d answers, want %d and one on stream 0", answers, faultsMost)
+	}
+}
+
+// The key of one request with the body of another gets no result, on either front.
+func TestKeyOfAnotherRequest(t *testing.T) {
+	engine := standin.NewEngine(t, standin.Echo(time.Millisecond))
+	r := start(t, engine.Address, "", "[uwsgi]\nlisten = \"127.0.0.1:0\"\n")
+	r.eventually(t, "the engine's link", r.link.Ready)
+	c := standin.Dial(t, r.frames)
+	for i, body := range []string{"mine", "other", "mine"} {
+		c.Send(uint32(i+1), standin.Fields("note", "red", "key", uint64(i+1), 3*time.Second), body)
+		got, _ := c.Next()
+		if want := map[string]byte{"mine": frame.Served, "other": frame.Failed}[body]; got.Code != want {
+			t.Errorf("try %d with body %s: %+v", i, body, got)
+		}
+	}
+	vars := standin.Vars("note", "red", "key", 3*time.Second)
+	if got := standin.Post(r.web, standin.Packet(t, vars, "other")); got.Status != 400 || !strings.Contains(got.Body, "another body") {
+		t.Errorf("uwsgi, another body: %+v", got)
+	}
+	if got := standin.Post(r.web, standin.Packet(t, vars, "mine")); got.Status != 200 || got.Body != "did mine" {
+		t.Errorf("uwsgi, the same body: %+v", got)
+	}
+	if runs := fmt.Sprint(engine.Runs()); runs != "map[mine:1]" {
+		t.Errorf("runs %s", runs)
+	}
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -42,7 +42,8 @@
 	heldDivisor  = 8          // part of the memory that half-read frames may take
 	bigBuffer    = 16 << 10   // ... above which a connection that holds more is closed
 	expireEvery  = 20_000     // between two looks for what has run out of time
-	idleEvery    = 100_000    // between two looks for idle connections
+	checkTime    = 2_000_000  // a deep check waits this long for the engine
+	checksMost   = 16         // deep checks that wait at once
 	statusEvery  = 10_000_000 // between two lines of totals in the log
 )
 
@@ -52,6 +53,9 @@
 	feed(b []byte) (int, error) // returns how many bytes were used
 	closed()
 	flush()
+	idle() idle      // what it says of itself when places are short
+	unsent() int     // bytes of answers that were not taken yet
+	peer() gnet.Conn // its connection
 }
 
 // Server is one real server.
@@ -96,7 +100,7 @@
 	webs     int    // open connections of the uwsgi front
 	webID    uint64 // names the requests of the uwsgi front
 	expireAt int64
-	idleAt   int64
+	tidyAt   int64
 
 	health  func() (good, stored bool)
 	checks  map[string]check // deep health checks that wait for the engine, by tag
@@ -107,6 +111,7 @@
 type check struct {
 	from   *session
 	stream uint32
+	until  int64
 }
 
 // now is the system's Unix clock in microseconds.
@@ -327,6 +332,9 @@
 	if h, ok := c.Context().(handler); ok {
 		s.sessions[h] = struct{}{}
 		h.opened(c)
+		if len(s.slots) >= cap(s.slots)-cap(s.slots)/freeShare {
+			s.schedule() // for makeRoom
+		}
 	}
 	return nil, gnet.None
 }
@@ -390,7 +398,7 @@
 	s.core.Step(t)
 	s.flush()
 	s.expire(t)
-	s.closeIdle(t)
+	s.tidy(t)
 	s.leave(t)
 	s.report(t)
 	s.arm()
@@ -422,28 +430,16 @@
 	}
 }
 
-// closeIdle asks callers to close the connections that have carried nothing for
-// as long as the module says. They close them themselves, so that no request
-// can cross; one that never carried a request, as for health checks, is left alone.
-func (s *Server) closeIdle(t int64) {
-	after := s.core.IdleAfter()
-	if after == 0 || after >= s.cfg.Module.IdleAfter || t < s.idleAt {
-		return
-	}
-	s.idleAt = t + idleEvery
-	for h := range s.sessions {
-		if f, ok := h.(*session); ok && f.highest > 0 && len(f.open) == 0 && t-f.usedAt >= after {
-			f.goAway()
-		}
-	}
-	s.flush()
-}
-
 // report tells the registry, and now and then the log, how things are.
 func (s *Server) report(t int64) {
 	if t >= s.reportAt {
 		s.reportAt = t + registry.Interval
 		s.link.Expire()
+		for tag, c := range s.checks {
+			if t >= c.until {
+				s.Tested(tag, false)
+			}
+		}
 		if s.beacon == nil && s.cfg.Registry != "" {
 			s.reregister()
 		}
@@ -514,12 +510,7 @@
 func (s *Server) unsent() int {
 	n := 0
 	for h := range s.sessions {
-		switch f := h.(type) {
-		case *session:
-			n += f.conn.OutboundBuffered()
-		case *webSession:
-			n += f.conn.OutboundBuffered()
-		}
+		n += h.unsent()
 	}
 	return n
 }
@@ -551,6 +542,7 @@
 func (s *Server) Tested(tag string, ok bool) {
 	if c, waits := s.checks[tag]; waits {
 		delete(s.checks, tag)
+		c.from.checks--
 		good, _ := s.health()
 		c.from.verdict(c.stream, ok && good)
 	}
@@ -587,10 +579,14 @@
 
 func (e *engineConn) hangUp() {
 	if !e.gone {
-		e.conn.EventLoop().Close(e.conn) //nolint:errcheck // it is gone either way
+		hangUp(e.conn)
 	}
 }
 
+func (e *engineConn) idle() idle      { return idle{} }
+func (e *engineConn) unsent() int     { return 0 }
+func (e *engineConn) peer() gnet.Conn { return e.conn }
+
 // feed takes in notices. Guards against those that a replaced link still
 // brings: the same ones come on the link in use, under the same numbers.
 func (e *engineConn) feed(b []byte) (int, error) {
--- a/internal/server/web.go
+++ b/internal/server/web.go
@@ -30,6 +30,7 @@
 	shut     bool // our side is closed, the caller's is not
 	gone     bool
 	held     int
+	openedAt int64
 	readBy   int64
 	out      [][]byte
 }
@@ -38,6 +39,7 @@
 
 func (f *webSession) opened(c gnet.Conn) {
 	f.conn = c
+	f.openedAt = now()
 	f.s.webs++
 	f.readBy = now() + f.s.cfg.UWSGI.ReadWithin
 }
@@ -55,6 +57,17 @@
 	f.request = nil
 }
 
+// idle counts a connection from its start: what is half sent makes room too.
+func (f *webSession) idle() idle {
+	if f.waits && !f.answered {
+		return idle{}
+	}
+	return idle{since: f.openedAt, served: f.answered}
+}
+
+func (f *webSession) unsent() int     { return f.conn.OutboundBuffered() }
+func (f *webSession) peer() gnet.Conn { return f.conn }
+
 func (f *webSession) hold(n int) {
 	f.s.buffered += n - f.held
 	f.held = n
@@ -101,11 +114,11 @@
 	// Not 16 hex digits: guards against a name that a caller of the other front has chosen.
 	r.Name = fmt.Sprintf("w%015x", f.s.webID)
 	r.Body, r.Stream, r.From = body, 1, f
+	f.waits = true
 	if err := f.s.core.Arrive(now(), r); err != nil {
+		f.waits = false
 		f.refuse(&uwsgi.Problem{Status: http.StatusBadRequest, Reason: err.Error()})
-		return
 	}
-	f.waits = true
 }
 
 // refuse answers a request that does not enter the core.
@@ -155,12 +168,12 @@
 		return
 	}
 	if f.waits {
-		f.conn.EventLoop().Close(f.conn) //nolint:errcheck // it is gone either way
+		hangUp(f.conn)
 		return
 	}
 	f.shut = true
 	if err := unix.Shutdown(f.conn.Fd(), unix.SHUT_WR); err != nil {
-		f.conn.EventLoop().Close(f.conn) //nolint:errcheck // it is gone either way
+		hangUp(f.conn)
 	}
 }
 
@@ -176,7 +189,7 @@
 		switch {
 		case !ok || f.waits && !f.answered:
 		case f.answered && t >= f.readBy:
-			f.conn.EventLoop().Close(f.conn) //nolint:errcheck // it is gone either way
+			hangUp(f.conn)
 		case f.answered:
 			f.settle()
 		case t >= f.readBy:
@@ -235,7 +248,7 @@
 func (b *backendConn) opened(c gnet.Conn) {
 	b.conn = c
 	if b.finished {
-		c.EventLoop().Close(c) //nolint:errcheck // it is gone either way
+		hangUp(c)
 		return
 	}
 	r, cfg := b.r, b.s.cfg
@@ -273,6 +286,10 @@
 
 func (b *backendConn) flush() {}
 
+func (b *backendConn) idle() idle      { return idle{} }
+func (b *backendConn) unsent() int     { return 0 }
+func (b *backendConn) peer() gnet.Conn { return b.conn }
+
 func (b *backendConn) parse(end bool) {
 	if b.finished {
 		return
@@ -299,6 +316,6 @@
 	b.s.core.Done(b.r, outcome, now()-b.began, result)
 	b.s.schedule()
 	if b.conn != nil {
-		b.conn.EventLoop().Close(b.conn) //nolint:errcheck // it is gone either way
+		hangUp(b.conn)
 	}
 }
--- a/internal/uwsgi/request.go
+++ b/internal/uwsgi/request.go
@@ -51,6 +51,7 @@
 const (
 	maxKey     = 128
 	maxTimeout = 3_600_000
+	maxStamp   = 1 << 43 // ms: some centuries; sums of times cannot overflow
 )
 
 // ParseRequest reads the variables of a request that was read at now. It
@@ -71,7 +72,7 @@
 			timeout, ok = whole(text, maxTimeout)
 		case VarStamp:
 			var ms int64
-			ms, ok = whole(text, math.MaxInt64/1000)
+			ms, ok = whole(text, maxStamp)
 			r.Arrived = ms * 1000
 		case VarKey:
 			r.Key, ok = text, len(text) > 0 && len(text) <= maxKey
