Give answered connections longer for the rest of a frame; test SIGHUP whole

Connections that were answered before now have 5 s; clients that never got a word still get one in time. A reload also names changed contracts among what needs a restart.

TestHangUpIsNoEnd runs serve as a whole: without the signal it dies. TestReloadMovesBackends checks the reload on the second front.

--- a/cmd/kiteslip/main_test.go
+++ b/cmd/kiteslip/main_test.go
@@ -1,10 +1,14 @@
 package main
 
 import (
+	"fmt"
+	"net"
 	"os"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
+	"time"
 
 	"github.com/alecthomas/kong"
 
@@ -46,6 +50,56 @@
 	}
 }
 
+// SIGHUP reads the configuration again instead of ending the process, and
+// SIGTERM after it still drains: a program that does not take the signal dies here.
+func TestHangUpIsNoEnd(t *testing.T) {
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := free.Addr().String()
+	free.Close()
+	path := filepath.Join(t.TempDir(), "operator.toml")
+	text := "[uwsgi]\nlisten = %q\n[machine]\nstop_ms = 1000\n[[team]]\nname = \"a\"\nrequests_per_s = 1\n" +
+		"[[service]]\nname = \"s\"\nbackend = \"127.0.0.1:1\"\n[[service.contract]]\nclass = \"c\"\neffect = \"repeatable\"\ndeadline_ms = 100\n"
+	if err := os.WriteFile(path, fmt.Appendf(nil, text, address), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	t.Setenv(config.EnvConfig, "")
+	end := make(chan error, 1)
+	serve := serveCmd{operatorFlag: operatorFlag{path}, LogLevel: "error"}
+	go func() { end <- serve.Run() }()
+	for tries := 0; ; tries++ { // until it serves
+		c, err := net.Dial("tcp", address)
+		if err == nil {
+			c.Close()
+			break
+		}
+		if tries == 1000 {
+			t.Fatal(err)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	for _, sig := range []syscall.Signal{syscall.SIGHUP, syscall.SIGHUP, syscall.SIGTERM} {
+		select {
+		case err := <-end:
+			t.Fatalf("it ended early: %v", err)
+		case <-time.After(200 * time.Millisecond):
+		}
+		if err := syscall.Kill(os.Getpid(), sig); err != nil {
+			t.Fatal(err)
+		}
+	}
+	select {
+	case err := <-end:
+		if err != nil {
+			t.Error(err)
+		}
+	case <-time.After(10 * time.Second):
+		t.Error("SIGTERM does not end it")
+	}
+}
+
 func TestForeignCapture(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "x.pcap")
 	if err := os.WriteFile(path, []byte("no capture"), 0o600); err != nil {
--- a/internal/server/reload.go
+++ b/internal/server/reload.go
@@ -33,10 +33,11 @@
 func (s *Server) adopt(next *config.Config) {
 	cfg := s.cfg
 	for key, differs := range map[string]bool{
-		"name":     next.Name != cfg.Name,
-		"listen":   next.Listen != cfg.Listen || next.UWSGI.Listen != cfg.UWSGI.Listen,
-		"limits":   next.Limits != cfg.Limits,
-		"settings": !reflect.DeepEqual(next.Module, cfg.Module) || !reflect.DeepEqual(next.Classes, cfg.Classes) || !reflect.DeepEqual(next.Tenants, cfg.Tenants),
+		"name":      next.Name != cfg.Name,
+		"listen":    next.Listen != cfg.Listen || next.UWSGI.Listen != cfg.UWSGI.Listen,
+		"limits":    next.Limits != cfg.Limits,
+		"contracts": !reflect.DeepEqual(next.UWSGI.Contracts, cfg.UWSGI.Contracts) || !reflect.DeepEqual(next.MaxResults, cfg.MaxResults),
+		"settings":  !reflect.DeepEqual(next.Module, cfg.Module) || !reflect.DeepEqual(next.Classes, cfg.Classes) || !reflect.DeepEqual(next.Tenants, cfg.Tenants),
 	} {
 		if differs {
 			s.log.Warn("a change that needs a restart is not taken over", zap.String("key", key))
--- a/internal/server/reload_test.go
+++ b/internal/server/reload_test.go
@@ -55,3 +55,27 @@
 		t.Errorf("the keyed run ran %d times", n)
 	}
 }
+
+// The operator's file moves a backend the same way: later calls go to the new one.
+func TestReloadMovesBackends(t *testing.T) {
+	before, after := standin.NewBackend(t, work), standin.NewBackend(t, work)
+	r := start(t, "127.0.0.1:1", "", operator(before.Address))
+	post := func(body string) {
+		t.Helper()
+		if got := standin.Post(r.web, standin.Packet(t, standin.Vars("find", "red", "", time.Second), body)); got.Status != 200 {
+			t.Errorf("%s: %+v", body, got)
+		}
+	}
+	post("quick before")
+	next, err := config.ParseOperator(operator(after.Address), platform(t, "127.0.0.1:1", ""))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Reload = func() (*config.Config, error) { return next, nil }
+	r.signals <- syscall.SIGHUP
+	r.eventually(t, "the new address", func() bool { return r.cfg.Backends[0] == after.Address })
+	post("quick after")
+	if before.Runs()["quick after"] != 0 || after.Runs()["quick after"] != 1 {
+		t.Errorf("runs %v, then %v", before.Runs(), after.Runs())
+	}
+}
--- a/internal/server/seats.go
+++ b/internal/server/seats.go
@@ -14,7 +14,8 @@
 // others out: each has to bring something soon, and while free places are
 // short, those that carry nothing make room.
 const (
-	firstWord  = 2_000_000 // for the first whole frame, and for the rest of one that has begun
+	firstWord  = 2_000_000 // for the first whole frame
+	restOf     = 5_000_000 // for the rest of one that has begun, on a connection that was answered before
 	awayLinger = 1_000_000 // from GOAWAY to the close by us, once nothing is open
 	settled    = 100_000   // a connection that carries nothing for less than this is never closed for its place
 	freeShare  = 8         // this part of the places is kept free
@@ -50,9 +51,12 @@
 		if !ok {
 			continue // the uwsgi front has times of its own, see expire
 		}
-		at := f.idle()
+		at, within := f.idle(), int64(firstWord)
+		if at.served {
+			within = restOf // it may carry open requests, and a standstill of the machine cuts frames in two
+		}
 		switch {
-		case f.partAt != 0 && t-f.partAt >= firstWord:
+		case f.partAt != 0 && t-f.partAt >= within:
 			f.end(errPart)
 		case at.since == 0:
 		case !at.served && t-f.openedAt >= firstWord:
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -33,19 +33,29 @@
 	end         chan error
 }
 
-// start runs a server against an engine and, if operator is given, with that
-// operator's file, in which %s stands for a free loopback address.
-func start(t testing.TB, engine, registry, operator string) *running {
+// platform is what the platform would configure.
+func platform(t testing.TB, engine, registry string) *config.Config {
 	t.Helper()
 	cfg, err := config.Parse(fmt.Appendf(nil, `{"name": "t", "listen": "127.0.0.1:0", "engine": %q, "registry": %q,
 		"seed": "1", "stop_ms": 2000, "limits": {"cores": 1, "memory_mb": 64, "sockets": 256}, "settings": %s}`,
 		engine, registry, settings), "", "")
-	if err == nil && operator != "" {
-		cfg, err = config.ParseOperator(operator, cfg)
-	}
 	if err != nil {
 		t.Fatal(err)
 	}
+	return cfg
+}
+
+// start runs a server against an engine and, if operator is given, with that
+// operator's file, in which %s stands for a free loopback address.
+func start(t testing.TB, engine, registry, operator string) *running {
+	t.Helper()
+	cfg := platform(t, engine, registry)
+	if operator != "" {
+		var err error
+		if cfg, err = config.ParseOperator(operator, cfg); err != nil {
+			t.Fatal(err)
+		}
+	}
 	s, err := New(cfg, zap.NewNop())
 	if err != nil {
 		t.Fatal(err)
--- a/internal/server/session.go
+++ b/internal/server/session.go
@@ -168,7 +168,7 @@
 
 func (f *session) idle() idle {
 	if len(f.open) > 0 || f.checks > 0 {
-		return idle{}
+		return idle{served: f.served}
 	}
 	return idle{since: f.usedAt, served: f.served}
 }
