Advise callers to stay away for longer than what came too much

At fault: shed and settle in policy.go advised to stay away for just as long as the request came too late, so all came back at once to a line as long as before.

Advice is now four times that and 0.15 of the aim.

TestAdviceOutlastsTheExcess fails without the change.

--- a/policy.go
+++ b/policy.go
@@ -62,6 +62,8 @@
 	unreadAim    = 0.2     // ... and the wait to be read beyond this share of the shortest aim
 	backlogAim   = 0.5     // reading comes before runs when it is behind by this share of the shortest aim
 	shortIdle    = 300_000 // connections that will not be used again are closed after this
+	awayTimes    = 4.0     // advice to stay away is this many times what came too much
+	awayAim      = 0.15    // ... and this part of an aim
 	refusedMost  = 0.4     // a storm lasts while more of the arrivals than this are refused
 	floorStep    = 0.01    // the floor moves by this each idleTimer
 )
@@ -602,7 +604,7 @@
 			} else if w.baseN[r.class] > 0 && w.inHand > 0 {
 				// Guards against tries that walk on: each is read again, at a cost, until readings alone fill the fleet.
 				// What had its chance here stays refused; it hurts where others idle.
-				acts = w.refuse(r, finish-aim, true, acts)
+				acts = w.refuse(r, w.away(finish-aim, c), true, acts)
 				continue
 			}
 		}
@@ -840,6 +842,13 @@
 	return min(w.end(r), r.aim)
 }
 
+// away is how long a caller should stay away that came so much too late to be served in time. Guards
+// against a line that never gets shorter: advice of just that much brings all back at once, when others
+// have come too, and what callers spread evenly stays with the slow. It harms where one caller sends most.
+func (w *Worker) away(over int64, c *Class) int64 {
+	return int64(awayTimes*float64(over) + awayAim*float64(c.Aim))
+}
+
 // refuse answers a request that never ran, or that may run again.
 func (w *Worker) refuse(r *request, after int64, last bool, acts []Action) []Action {
 	w.refused += learn
@@ -880,7 +889,7 @@
 		safe, past := w.set.Classes[r.class].Effect == Repeatable, w.now >= w.earnUntil(r)
 		switch {
 		case r.phase == held && past && (safe || !r.ran):
-			acts = w.refuse(r, w.tail, true, acts)
+			acts = w.refuse(r, w.away(w.tail, &w.set.Classes[r.class]), true, acts)
 		case r.phase == held && r.ran && !safe, // a stop lost its work: neither run again nor refused
 			w.now >= w.end(r),
 			past && (safe || r.phase == atCall) && (r.phase != running || w.set.Stop != StopNever):
--- a/policy_test.go
+++ b/policy_test.go
@@ -657,6 +657,39 @@
 	}
 }
 
+// Advice of just what came too much brought all back at once. It is longer than that now, and within the setting.
+func TestAdviceOutlastsTheExcess(t *testing.T) {
+	b := start(t, func(s *Settings) { s.MaxRetryAfter = 3_000_000 })
+	c := &b.w.set.Classes[0]
+	for _, over := range []int64{0, 50_000, 400_000, 2_000_000} {
+		b.w.reqs = append(b.w.reqs[:0], request{id: 1, phase: held, due: 9_000_000, aim: 2_000_000})
+		acts := b.w.refuse(&b.w.reqs[0], b.w.away(over, c), true, nil)
+		if got := acts[0].After; got > b.w.set.MaxRetryAfter || got < min(2*over+c.Aim/10, b.w.set.MaxRetryAfter) {
+			t.Errorf("%d us too late: stay away for %d us", over, got)
+		}
+	}
+	for id := RequestID(1); id < 30; id++ {
+		b.step(int64(id)*400_000, arrival(id, 0))
+		b.step(int64(id)*400_000+300_000, Event{Kind: Done, ID: id, Outcome: OK})
+	}
+	b.step(12_990_000, arrival(98, 0), arrival(99, 0))
+	var crowd []Event
+	for id := RequestID(100); id < 140; id++ {
+		crowd = append(crowd, arrival(id, 0))
+	}
+	refused := 0
+	for _, a := range b.step(13_000_000, crowd...) {
+		if a.Kind == Refuse {
+			if refused++; a.After < c.Aim/10 {
+				t.Errorf("%d was refused for %d us", a.ID, a.After)
+			}
+		}
+	}
+	if refused == 0 {
+		t.Error("nothing was refused")
+	}
+}
+
 // Sixteen of the largest sizes were most of a small machine's memory: the draw refused three of four.
 func TestTopOnASmallMachine(t *testing.T) {
 	for cores, want := range map[int]float64{1: 2, 2: 4, 8: 16, 64: 16} {
