Add the operators' door: ready, show-stat, drain and resume

The core holds the operators' drain beside SIGTERM's, and counts answers by class; the engine link counts runs.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -3,6 +3,7 @@
 package config
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -19,6 +20,7 @@
 	EnvName   = "EDGE_NAME"
 	EnvListen = "EDGE_LISTEN"
 	EnvConfig = "EDGE_CONFIG"
+	EnvOps    = "EDGE_OPS"
 )
 
 // Limits are what the platform grants to the program.
@@ -32,6 +34,7 @@
 type Config struct {
 	Name     string
 	Listen   string
+	Ops      string // the operators' door; "" = none
 	Engine   string
 	Registry string // "" = report nowhere
 	Seed     uint64
@@ -58,6 +61,7 @@
 type raw struct {
 	Name     string          `json:"name"`
 	Listen   string          `json:"listen"`
+	Ops      string          `json:"ops"`
 	Engine   string          `json:"engine"`
 	Registry string          `json:"registry"`
 	Seed     string          `json:"seed"`
@@ -96,26 +100,23 @@
 	if err != nil {
 		return nil, fmt.Errorf("config: %s: %w", EnvConfig, err)
 	}
-	c, err := Parse(text, getenv(EnvName), getenv(EnvListen))
+	c, err := Parse(text, getenv)
 	if err != nil {
 		return nil, fmt.Errorf("config: %s: %w", path, err)
 	}
 	return c, nil
 }
 
-// Parse reads the platform's JSON. A name or address that is given stands over that of the text.
-func Parse(text []byte, name, listen string) (*Config, error) {
+// Parse reads the platform's JSON. What the environment gives stands over the text.
+func Parse(text []byte, getenv func(string) string) (*Config, error) {
 	var r raw
 	if err := json.Unmarshal(text, &r); err != nil {
 		return nil, jsonError(err)
 	}
-	if name != "" {
-		r.Name = name
-	}
-	if listen != "" {
-		r.Listen = listen
-	}
-	c := &Config{Name: r.Name, Listen: r.Listen, Engine: r.Engine, Registry: r.Registry, Limits: r.Limits}
+	r.Name = cmp.Or(getenv(EnvName), r.Name)
+	r.Listen = cmp.Or(getenv(EnvListen), r.Listen)
+	r.Ops = cmp.Or(getenv(EnvOps), r.Ops)
+	c := &Config{Name: r.Name, Listen: r.Listen, Ops: r.Ops, Engine: r.Engine, Registry: r.Registry, Limits: r.Limits}
 	var errs []error
 	fail := func(key, format string, args ...any) {
 		errs = append(errs, fmt.Errorf("%s %s", key, fmt.Sprintf(format, args...)))
@@ -133,6 +134,7 @@
 		checkAddress(fail, key, value)
 	}
 	address("listen", c.Listen, true)
+	address("ops", c.Ops, false)
 	address("engine", c.Engine, true)
 	address("registry", c.Registry, false)
 	if r.Seed != "" {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -16,6 +16,8 @@
 const platform = `{"name": "n3", "listen": "10.0.0.4:8443", "engine": "10.1.0.1:9300", "registry": "10.2.0.1:7946",
  "seed": "8c1f30d27a5be964", "stop_ms": 3200, "limits": {"cores": 0.5, "memory_mb": 64, "sockets": 512}, "settings": ` + settings + `}`
 
+func unset(string) string { return "" }
+
 func TestPlatform(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "config.json")
 	if err := os.WriteFile(path, []byte(platform), 0o600); err != nil {
@@ -43,7 +45,7 @@
 		{`"cores": 2`, `"cores": 0`, "Settings.Cores"}, {`"by_key"`, `"twice"`, "classes[1].effect"}, {`"note"`, `"look"`, "classes[1].name"},
 		{`"red"`, `""`, "tenants[0].name"}, {`"settings"`, `"others"`, "settings"},
 	} {
-		_, err := Parse([]byte(strings.Replace(platform, c.old, c.new, 1)), "", "")
+		_, err := Parse([]byte(strings.Replace(platform, c.old, c.new, 1)), unset)
 		if err == nil || !strings.Contains(err.Error(), c.key) {
 			t.Errorf("%s for %s: error %v, want one that names %s", c.new, c.old, err, c.key)
 		}
@@ -82,7 +84,7 @@
 const machine = "[machine]\ncores = 2\n"
 
 func TestOperatorOverPlatform(t *testing.T) {
-	base, err := Parse([]byte(platform), "", "")
+	base, err := Parse([]byte(platform), unset)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -32,6 +32,7 @@
 type Machine struct {
 	Name      string  `toml:"name"`
 	Listen    string  `toml:"listen"` // of the platform's protocol; "" = no such front
+	Ops       string  `toml:"ops"`    // the operators' door; "" = none
 	Engine    string  `toml:"engine"` // "" = all services have backends
 	Cores     int     `toml:"cores"`  // that do the work
 	WorkMB    float64 `toml:"work_mb"`
@@ -164,13 +165,13 @@
 
 // config makes a configuration without the platform's.
 func (m *Machine) config(errs *problems) *Config {
-	c := &Config{Name: m.Name, Listen: m.Listen, Engine: m.Engine,
+	c := &Config{Name: m.Name, Listen: m.Listen, Ops: m.Ops, Engine: m.Engine,
 		Limits: Limits{m.Limits.Cores, m.Limits.MemoryMB, m.Limits.Sockets}}
 	c.Limits.defaults(func(key, format string, args ...any) { errs.add("machine."+key, format, args...) })
 	if c.Name == "" {
 		c.Name = "kiteslip"
 	}
-	for key, value := range map[string]string{"machine.listen": m.Listen, "machine.engine": m.Engine} {
+	for key, value := range map[string]string{"machine.listen": m.Listen, "machine.ops": m.Ops, "machine.engine": m.Engine} {
 		if value != "" {
 			checkAddress(errs.add, key, value)
 		}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -157,12 +157,30 @@
 	sweepAt int64
 	dueAt   int64
 	counts  Counts
+	classes []Answers
+
+	withdrawn bool // by an operator
 }
 
 // Counts are totals since the start.
 type Counts struct {
-	Read, Served, Refused, Failed, Gone int
-	Guarded                             int // actions that a rule forbade, and answers that the module left out
+	Read, Gone int
+	Answers
+	Guarded int // actions that a rule forbade, and answers that the module left out
+}
+
+// Answers counts final answers by their code.
+type Answers struct{ Served, Refused, Failed int }
+
+func (n *Answers) add(code Code) {
+	switch code {
+	case Served:
+		n.Served++
+	case Refused:
+		n.Refused++
+	default:
+		n.Failed++
+	}
 }
 
 // New returns a Core that gives its runs to runner.
@@ -177,6 +195,7 @@
 	return &Core{
 		set: set, worker: worker, runner: runner, good: true, stored: true, hash: maphash.MakeSeed(),
 		open: map[kiteslip.RequestID]*Request{}, names: map[string]*Request{}, table: map[string]*entry{},
+		classes: make([]Answers, len(set.Module.Classes)),
 	}, nil
 }
 
@@ -366,12 +385,22 @@
 // Counts returns the totals since the start.
 func (c *Core) Counts() Counts { return c.counts }
 
+// Classes returns the final answers since the start, by class.
+func (c *Core) Classes() []Answers { return c.classes }
+
+// Withdraw takes in that an operator wants the server off the callers' list,
+// or on it again. Only health is told of it: what comes is served as ever.
+func (c *Core) Withdraw(on bool) { c.withdrawn = on }
+
+// Withdrawn says whether an operator has taken the server off the list.
+func (c *Core) Withdrawn() bool { return c.withdrawn }
+
 // Held is the number of requests in the book, running ones included, and of keys.
 func (c *Core) Held() (requests, keys int) { return len(c.open), len(c.table) }
 
 // Health is what checks are told: whether all is good, and whether that is to
 // be told as stored or only after a trial run.
-func (c *Core) Health() (good, stored bool) { return c.good, c.stored }
+func (c *Core) Health() (good, stored bool) { return c.good && !c.withdrawn, c.stored }
 
 // IdleAfter is how long a connection may carry nothing before it should be
 // closed; 0 = leave that to the caller.
@@ -552,14 +581,8 @@
 
 // answer gives r its one final answer.
 func (c *Core) answer(r *Request, a Answer) {
-	switch a.Code {
-	case Served:
-		c.counts.Served++
-	case Refused:
-		c.counts.Refused++
-	default:
-		c.counts.Failed++
-	}
+	c.counts.add(a.Code)
+	c.classes[r.Class].add(a.Code)
 	from := r.From
 	c.settle(r)
 	from.Answer(r.Stream, a)
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -50,6 +50,7 @@
 	stat    bool  // a STAT is out
 	statAt  int64 // when it was sent
 	read    int64 // what was written before this has been read: the STAT after it was answered
+	tries   int   // runs that were written, each counted once
 }
 
 // fence is the tag of the STAT that follows HELLO: its answer comes after the
@@ -98,6 +99,9 @@
 // Running is the number of runs without a notice of their end.
 func (l *Link) Running() int { return len(l.runs) }
 
+// Tries is the number of runs that were handed to the engine since the start.
+func (l *Link) Tries() int { return l.tries }
+
 // Run hands a request over, at once or when the link is up.
 func (l *Link) Run(r *core.Request) {
 	u := &run{r: r}
@@ -108,6 +112,9 @@
 }
 
 func (l *Link) write(u *run) {
+	if u.written == 0 {
+		l.tries++
+	}
 	u.written, u.lost, u.crossed = l.now(), false, false
 	line := fmt.Appendf(nil, "RUN %s %s %d\r\n", u.r.Name, l.classes[u.r.Class], len(u.r.Body))
 	l.send(line, u.r.Body, crlf)
--- /dev/null
+++ b/internal/ops/ops_test.go
@@ -0,0 +1,41 @@
+package ops
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func TestParse(t *testing.T) {
+	for line, want := range map[string]Call{"ready": Ready, "show-stat": ShowStat, "drain": Drain, "resume": Resume,
+		" drain ": Drain, "": 0, "READY": 0, "drain now": 0, "ready\x00": 0, strings.Repeat("x", 250): 0} {
+		got, err := Parse([]byte(line))
+		if got != want || (err == nil) != (want != 0) {
+			t.Errorf("%q: %v, %v", line, got, err)
+		}
+		if err != nil && strings.ContainsAny(err.Error(), "\n\x00") {
+			t.Errorf("%q: the error breaks the line: %q", line, err)
+		}
+	}
+}
+
+// A line comes out as it went in, however it is cut, and no input is held beyond the bound.
+func TestSplit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		in := rapid.SliceOfN(rapid.SampledFrom([]byte("ab \r\n\x00")), 0, 2*MaxLine).Draw(t, "in")
+		for n := range len(in) + 1 {
+			line, whole, err := Split(in[:n])
+			end := bytes.IndexByte(in[:n], '\n')
+			switch {
+			case end >= 0 && end < MaxLine:
+				if want := bytes.TrimSuffix(in[:end], []byte("\r")); !whole || err != nil || !bytes.Equal(line, want) {
+					t.Fatalf("%q: %q, %v, %v", in[:n], line, whole, err)
+				}
+			case whole || (err != nil) != (n >= MaxLine):
+				t.Fatalf("%q: %v, %v", in[:n], whole, err)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/server/door.go
@@ -0,0 +1,144 @@
+package server
+
+import (
+	"github.com/panjf2000/gnet/v2"
+	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
+
+	"kiteslip/internal/figures"
+	"kiteslip/internal/ops"
+)
+
+const (
+	doorPlaces = 32         // connections at the operators' door, besides those of callers
+	doorLine   = 10_000_000 // for the line to come
+	doorLinger = 1_000_000  // for the caller to close after its answer
+)
+
+// door is one connection at the operators' door: a line, an answer, the end.
+type door struct {
+	s        *Server
+	conn     gnet.Conn
+	openedAt int64
+	endAt    int64 // when it is closed by us
+	answered bool
+	gone     bool
+}
+
+func newDoor(s *Server) *door { return &door{s: s} }
+
+// opened takes the connection in. Guards against callers that hold on: the
+// last place goes to the newcomer, and the one that has waited longest is closed.
+func (d *door) opened(c gnet.Conn) {
+	d.conn = c
+	d.openedAt = now()
+	d.endAt = d.openedAt + doorLine
+	if len(d.s.doorSlots) < cap(d.s.doorSlots) {
+		return
+	}
+	var oldest *door
+	for h := range d.s.sessions {
+		if o, ok := h.(*door); ok && o != d && (oldest == nil || o.answered && !oldest.answered ||
+			o.answered == oldest.answered && o.openedAt < oldest.openedAt) {
+			oldest = o
+		}
+	}
+	if oldest != nil {
+		hangUp(oldest.conn)
+	}
+}
+
+func (d *door) closed() {
+	d.gone = true
+	<-d.s.doorSlots
+}
+
+// feed answers a whole line at once, ahead of the round. Guards the answer: a
+// close with bytes unread would make the system reset the connection, so only
+// our side is shut, and what follows the line is passed over.
+func (d *door) feed(b []byte) (int, error) {
+	if d.answered {
+		return len(b), nil
+	}
+	line, whole, err := ops.Split(b)
+	if err == nil && !whole {
+		return 0, nil
+	}
+	var answer []byte
+	if err != nil {
+		answer = ops.Error(err.Error())
+	} else {
+		answer = d.s.operate(line)
+	}
+	d.answered, d.endAt = true, now()+doorLinger
+	if _, err := d.conn.Write(answer); err != nil || d.gone {
+		return len(b), nil
+	}
+	if d.conn.OutboundBuffered() == 0 {
+		return len(b), unix.Shutdown(d.conn.Fd(), unix.SHUT_WR)
+	}
+	return len(b), nil
+}
+
+func (d *door) flush()          {}
+func (d *door) idle() idle      { return idle{} } // it holds no caller's place
+func (d *door) unsent() int     { return 0 }
+func (d *door) peer() gnet.Conn { return d.conn }
+
+// expire closes what has had its time.
+func (d *door) expire(t int64) {
+	if t >= d.endAt {
+		hangUp(d.conn)
+	}
+}
+
+// operate carries out one call at the door.
+func (s *Server) operate(line []byte) []byte {
+	call, err := ops.Parse(line)
+	if err != nil {
+		return ops.Error(err.Error())
+	}
+	switch call {
+	case ops.ShowStat:
+		f := s.figures()
+		return ops.Stat(f.Append(nil))
+	case ops.Drain:
+		s.withdraw(true)
+		return ops.Done("drain")
+	case ops.Resume:
+		if s.stopAt != 0 {
+			return ops.Error("stopping: nothing takes back the notice to leave")
+		}
+		s.withdraw(false)
+		return ops.Done("resume")
+	}
+	switch {
+	case s.stopAt != 0:
+		return ops.Error("stopping")
+	case s.core.Withdrawn():
+		return ops.Error("draining")
+	case !s.serving:
+		return ops.Error("starting")
+	}
+	return ops.Done("ready")
+}
+
+// withdraw takes the server off the callers' list, or puts it back. Nothing
+// that runs or still comes is touched.
+func (s *Server) withdraw(on bool) {
+	if s.core.Withdrawn() != on {
+		s.log.Info("operator", zap.Bool("drain", on))
+		s.core.Withdraw(on)
+		s.reportAt = 0
+		s.schedule()
+	}
+}
+
+// figures gathers what is counted where each event ends.
+func (s *Server) figures() figures.Figures {
+	f := figures.Figures{Tries: s.link.Tries() + s.called, Active: s.core.Owed(), Applied: s.applied, Rejected: s.rejected}
+	for i, n := range s.core.Classes() {
+		f.Classes = append(f.Classes, figures.Class{Name: s.cfg.Classes[i], OK: n.Served, Shed: n.Refused, Errors: n.Failed})
+	}
+	return f
+}
--- /dev/null
+++ b/internal/server/door_test.go
@@ -0,0 +1,157 @@
+package server
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"kiteslip/internal/frame"
+	"kiteslip/internal/standin"
+)
+
+// ask makes a call at the door of r.
+func (r *running) ask(t testing.TB, call string) string {
+	t.Helper()
+	return standin.Ask(t, r.door.Addr().String(), call)
+}
+
+// check asks for the server's health as the platform does.
+func (r *running) check(t testing.TB) byte {
+	t.Helper()
+	c := standin.Dial(t, r.frames)
+	c.Write(append(frame.AppendHead(nil, frame.Check, 1, 1), 0))
+	got, _ := c.Next()
+	c.Conn.Close()
+	return got.Code
+}
+
+// Calls in any order do what the table of states in docs/design.md says, and
+// whatever comes is served as ever.
+func TestOperatorStates(t *testing.T) {
+	engine := standin.NewEngine(t, standin.Echo(time.Millisecond))
+	registry, reports := standin.NewRegistry(t)
+	r := start(t, engine.Address, registry, "")
+	r.eventually(t, "the engine's link", r.link.Ready)
+	withdrawn, asked := false, uint64(0)
+	c := standin.Dial(t, r.frames)
+	expect := func(t *rapid.T, call, want string) {
+		if got := standin.Ask(r.test, r.door.Addr().String(), call); got != want {
+			t.Fatalf("%s while withdrawn is %v: %q, want %q", call, withdrawn, got, want)
+		}
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		for _, step := range rapid.SliceOfN(rapid.SampledFrom([]string{"drain", "resume", "ready", "health", "request"}), 1, 6).Draw(t, "steps") {
+			switch step {
+			case "drain", "resume":
+				expect(t, step, "done "+step+"\n")
+				withdrawn = step == "drain"
+			case "ready":
+				expect(t, step, map[bool]string{false: "done ready\n", true: "error draining\n"}[withdrawn])
+			case "health":
+				if got := r.check(r.test); got != map[bool]byte{false: frame.Good, true: frame.Bad}[withdrawn] {
+					t.Fatalf("health %d while withdrawn is %v", got, withdrawn)
+				}
+			case "request":
+				asked++
+				c.Send(uint32(asked), standin.Fields("look", "red", "", asked, 3*time.Second), "b")
+				if got, _ := c.Next(); got.Code != frame.Served {
+					t.Fatalf("a request while withdrawn is %v: %+v", withdrawn, got)
+				}
+			}
+		}
+	})
+	r.ask(t, "drain")
+	for got := <-reports; got != "BEAT t draining"; got = <-reports {
+	}
+	r.signals <- syscall.SIGTERM
+	r.eventually(t, "the notice", func() bool { return r.stopAt != 0 })
+	for call, want := range map[string]string{"ready": "error stopping\n", "drain": "done drain\n"} {
+		if got := r.ask(t, call); got != want {
+			t.Errorf("%s after SIGTERM: %q, want %q", call, got, want)
+		}
+	}
+	if got := r.ask(t, "resume"); !strings.HasPrefix(got, "error ") {
+		t.Errorf("resume after SIGTERM: %q", got)
+	}
+	if got := r.check(t); got != frame.Bad {
+		t.Errorf("health %d after SIGTERM and resume", got)
+	}
+	r.signals = make(chan os.Signal, 1) // stop sends a second SIGTERM, which changes nothing
+}
+
+// A call before clients are taken: no, and a drain then holds from the start.
+func TestEarlyCalls(t *testing.T) {
+	s := start(t, "127.0.0.1:1", "", "")
+	s.look(func() {
+		s.serving = false
+		for _, c := range [][2]string{{"ready", "error starting\n"}, {"drain", "done drain\n"}, {"nonsense\x00", ""}} {
+			if got := string(s.operate([]byte(c[0]))); got != c[1] && c[1] != "" || !strings.HasSuffix(got, "\n") {
+				t.Errorf("%q: %q", c[0], got)
+			}
+		}
+		s.serving = true
+		if got := string(s.operate([]byte("ready"))); got != "error draining\n" {
+			t.Errorf("ready after an early drain: %q", got)
+		}
+	})
+}
+
+// What the figures say is what callers of both fronts saw.
+func TestFigures(t *testing.T) {
+	engine := standin.NewEngine(t, work)
+	r := start(t, engine.Address, "", operator(""))
+	r.eventually(t, "the engine's link", r.link.Ready)
+	c := standin.Dial(t, r.frames)
+	for i, body := range []string{"quick", "bad", "quick"} {
+		c.Send(uint32(i+1), standin.Fields("look", "red", "", uint64(i+1), 3*time.Second), body)
+		c.Next()
+	}
+	c.Send(4, standin.Fields("note", "red", "key", 4, 3*time.Second), "quick")
+	c.Next()
+	vars := standin.Vars("note", "red", "key", 3*time.Second)
+	if got := standin.Post(r.web, standin.Packet(t, vars, "quick")); got.Status != 200 { // a repeat: no run
+		t.Errorf("%+v", got)
+	}
+	late := standin.Fields("find", "red", "", 5, 0)
+	c.Send(5, late, "quick") // its caller has given up
+	c.Next()
+	c.Send(6, standin.Fields("look", "red", "", 6, 3*time.Second), "slow")
+	r.eventually(t, "a run", func() bool { return r.link.Running() == 1 })
+	want := "app.ok.look:2|c\napp.shed.look:0|c\napp.errors.look:1|c\n" +
+		"app.ok.find:0|c\napp.shed.find:1|c\napp.errors.find:0|c\n" +
+		"app.ok.note:2|c\napp.shed.note:0|c\napp.errors.note:0|c\n" +
+		"app.tries:5|c\napp.active:1|g\napp.config_applied:0|c\napp.config_rejected:0|c\nend\n"
+	if got := r.ask(t, "show-stat"); got != want {
+		t.Errorf("got\n%swant\n%s", got, want)
+	}
+}
+
+// Callers that hold on at the door keep out neither operators nor clients.
+func TestDoorIsNeverFull(t *testing.T) {
+	engine := standin.NewEngine(t, standin.Echo(time.Millisecond))
+	r := start(t, engine.Address, "", "")
+	r.eventually(t, "the engine's link", r.link.Ready)
+	for range 3 * doorPlaces {
+		c, err := net.Dial("tcp", r.door.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		fmt.Fprint(c, "show") // and no more
+	}
+	if got := r.ask(t, "ready"); got != "done ready\n" {
+		t.Errorf("ready: %q", got)
+	}
+	if got := r.check(t); got != frame.Good {
+		t.Errorf("health %d", got)
+	}
+	if got := r.ask(t, strings.Repeat("x", 4096)); !strings.HasPrefix(got, "error ") {
+		t.Errorf("a line without an end: %q", got)
+	}
+}
--- a/internal/server/reload.go
+++ b/internal/server/reload.go
@@ -21,6 +21,7 @@
 	next, err := s.Reload()
 	if err != nil {
 		s.log.Error("the new configuration is not used", zap.Error(err))
+		s.onLoop(func() { s.rejected++ })
 		return
 	}
 	s.onLoop(func() { s.adopt(next) })
@@ -35,6 +36,7 @@
 	for key, differs := range map[string]bool{
 		"name":      next.Name != cfg.Name,
 		"listen":    next.Listen != cfg.Listen || next.UWSGI.Listen != cfg.UWSGI.Listen,
+		"ops":       next.Ops != cfg.Ops,
 		"limits":    next.Limits != cfg.Limits,
 		"contracts": !reflect.DeepEqual(next.UWSGI.Contracts, cfg.UWSGI.Contracts) || !reflect.DeepEqual(next.MaxResults, cfg.MaxResults),
 		"settings":  !reflect.DeepEqual(next.Module, cfg.Module) || !reflect.DeepEqual(next.Classes, cfg.Classes) || !reflect.DeepEqual(next.Tenants, cfg.Tenants),
@@ -61,6 +63,7 @@
 		cfg.Registry = next.Registry
 		s.reregister()
 	}
+	s.applied++
 	s.log.Info("configuration reloaded", zap.String("engine", cfg.Engine), zap.String("registry", cfg.Registry))
 	s.reportAt = 0
 	s.schedule()
--- a/internal/server/seats.go
+++ b/internal/server/seats.go
@@ -47,6 +47,10 @@
 	unsent := 0
 	for h := range s.sessions {
 		unsent += h.unsent()
+		if d, ok := h.(*door); ok {
+			d.expire(t)
+			continue
+		}
 		f, ok := h.(*session)
 		if !ok {
 			continue // the uwsgi front has times of its own, see expire
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -80,6 +80,8 @@
 
 	listeners []front
 	slots     chan struct{} // one for each connection that may be open
+	door      *front        // for operators; nil = not set up
+	doorSlots chan struct{} // the places there
 	sessions  map[handler]struct{}
 	buffered  int // bytes of half-read frames, over all connections
 
@@ -94,6 +96,10 @@
 	awayAt    int64 // when connections are told to go
 	closeAt   int64 // when listeners close
 	away      bool
+	serving   bool        // clients are taken
+	called    int         // runs that were handed to backends
+	applied   int         // configuration files taken at SIGHUP
+	rejected  int         // and turned down
 	stopping  atomic.Bool // listeners are closed on purpose
 	over      atomic.Bool // the run has ended
 
@@ -126,10 +132,14 @@
 		cfg: cfg, log: log, up: make(chan struct{}), done: make(chan error, 1),
 		sessions: map[handler]struct{}{}, checks: map[string]check{},
 		backends: map[*backendConn]struct{}{},
-		slots:    make(chan struct{}, max(8, cfg.Limits.Sockets-spareSockets)),
 		names:    &frame.Names{Classes: map[string]int{}, Tenants: map[string]int{}},
 	}
-	room := max(8, cfg.Limits.Sockets-spareSockets)
+	room := cfg.Limits.Sockets - spareSockets
+	if cfg.Ops != "" {
+		room -= doorPlaces
+		s.doorSlots = make(chan struct{}, doorPlaces)
+	}
+	room = max(8, room)
 	if uses(cfg.Backends) {
 		s.calls = room / 4
 	}
@@ -192,9 +202,14 @@
 	})
 	close(s.up)
 	s.onLoop(s.reach)
+	if s.door != nil {
+		defer s.door.Close()
+		go s.accept(*s.door)
+	}
 	for _, l := range s.listeners {
 		go s.accept(l)
 	}
+	s.onLoop(func() { s.serving = true })
 	s.log.Info("serving", zap.String("name", s.cfg.Name), zap.String("listen", s.cfg.Listen),
 		zap.String("uwsgi", s.cfg.UWSGI.Listen))
 	for {
@@ -211,10 +226,11 @@
 	}
 }
 
-// front is a listener and what its connections speak.
+// front is a listener, what its connections speak, and the places for them.
 type front struct {
 	net.Listener
 	session func() handler
+	slots   chan struct{}
 }
 
 // Listen opens the listeners, which Serve does otherwise.
@@ -237,7 +253,15 @@
 			s.unlisten()
 			return fmt.Errorf("listen: %w", err)
 		}
-		s.listeners = append(s.listeners, front{l, f.session})
+		s.listeners = append(s.listeners, front{l, f.session, s.slots})
+	}
+	if s.cfg.Ops != "" {
+		l, err := net.Listen("tcp", s.cfg.Ops)
+		if err != nil {
+			s.unlisten()
+			return fmt.Errorf("ops: %w", err)
+		}
+		s.door = &front{l, func() handler { return newDoor(s) }, s.doorSlots}
 	}
 	return nil
 }
@@ -291,15 +315,15 @@
 // accept takes connections as long as there is a slot for them.
 func (s *Server) accept(l front) {
 	for {
-		s.slots <- struct{}{}
+		l.slots <- struct{}{}
 		c, err := l.Accept()
 		if err == nil {
 			_, err = s.client.EnrollContext(c, l.session())
-		} else if s.stopping.Load() {
+		} else if errors.Is(err, net.ErrClosed) {
 			return
 		}
 		if err != nil {
-			<-s.slots
+			<-l.slots
 			s.log.Warn("accept", zap.Error(err))
 			time.Sleep(10 * time.Millisecond) // out of descriptors, most likely
 		}
@@ -447,7 +471,7 @@
 			s.reregister()
 		}
 		if s.beacon != nil {
-			if err := s.beacon.Report(s.core.Draining()); err != nil {
+			if err := s.beacon.Report(s.core.Draining() || s.core.Withdrawn()); err != nil {
 				s.log.Debug("registry", zap.Error(err))
 			}
 		}
--- a/internal/server/web.go
+++ b/internal/server/web.go
@@ -271,6 +271,7 @@
 		b.end(kiteslip.Moot, nil)
 		return
 	}
+	b.s.called++
 	gather(c, [][]byte{head, r.Body})
 }
 
--- a/internal/standin/callers.go
+++ b/internal/standin/callers.go
@@ -234,6 +234,23 @@
 	return r
 }
 
+// Ask makes one call at the operators' door and returns the whole answer.
+func Ask(t testing.TB, address, call string) string {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(time.Second)) //nolint:errcheck // a TCP connection takes it
+	fmt.Fprintf(conn, "%s\n", call)
+	answer, err := io.ReadAll(conn)
+	if err != nil {
+		t.Errorf("%s: no answer within a second: %v", call, err)
+	}
+	return string(answer)
+}
+
 // NewRegistry returns the address of a registry and the reports that reach it.
 func NewRegistry(t testing.TB) (string, <-chan string) {
 	t.Helper()
