Take the place of a running process: one server of two, one owner of keys

Ruled out on the way: the greeting (it was read); the new process hung as the link was enrolled from the loop itself, which gnet's EnrollContext waits for.

--- a/cmd/kiteslip/main.go
+++ b/cmd/kiteslip/main.go
@@ -54,10 +54,6 @@
 	return config.LoadOperator(operator, platform)
 }
 
-// memoryShare is the part of the memory limit that the Go heap may fill
-// before the collector works harder; the rest is for stacks and the system.
-const memoryShare = 0.8
-
 func (c *serveCmd) Run() error {
 	// First of all: a SIGHUP that nobody takes ends the process.
 	signals := make(chan os.Signal, 4)
@@ -72,7 +68,7 @@
 	}
 	defer log.Sync() //nolint:errcheck // standard error cannot always be synced
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Limits.Cores))))
-	debug.SetMemoryLimit(int64(memoryShare * float64(cfg.Limits.MemoryMB) * (1 << 20)))
+	debug.SetMemoryLimit(cfg.Limits.Heap())
 	s, err := server.New(cfg, log)
 	if err != nil {
 		return err
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -21,6 +21,7 @@
 	EnvListen = "EDGE_LISTEN"
 	EnvConfig = "EDGE_CONFIG"
 	EnvOps    = "EDGE_OPS"
+	EnvFD     = "EDGE_INHERITED_FD"
 )
 
 // Limits are what the platform grants to the program.
@@ -30,20 +31,29 @@
 	Sockets  int     `json:"sockets"`
 }
 
+// heapShare is the part of the memory limit that the Go heap may fill before
+// the collector works harder; the rest is for stacks and the system.
+const heapShare = 0.8
+
+// Heap is what the Go heap may fill, in bytes.
+func (l *Limits) Heap() int64 { return int64(heapShare * float64(l.MemoryMB) * (1 << 20)) }
+
 // Config is a checked configuration.
 type Config struct {
-	Name     string
-	Listen   string
-	Ops      string // the operators' door; "" = none
-	Engine   string
-	Registry string // "" = report nowhere
-	Seed     uint64
-	Stop     int64 // from the notice to leave to the kill, microseconds
-	Limits   Limits
-	Module   kiteslip.Settings
-	Gauges   []string
-	Classes  []string
-	Tenants  []string
+	Name   string
+	Listen string
+	Ops    string // the operators' door; "" = none
+	Engine string
+
+	InheritedFD int    // of the clients' listening socket, which the platform holds; 0 = none
+	Registry    string // "" = report nowhere
+	Seed        uint64
+	Stop        int64 // from the notice to leave to the kill, microseconds
+	Limits      Limits
+	Module      kiteslip.Settings
+	Gauges      []string
+	Classes     []string
+	Tenants     []string
 
 	UWSGI      UWSGI
 	Backends   []string // by class: the uwsgi server that does the work; "" = the engine
@@ -88,6 +98,8 @@
 	defaultStopMS   = 3000
 	leastMemoryMB   = 16
 	leastSockets    = 32
+	leastFD         = 3 // after those for input, output and errors
+	mostFD          = 1 << 20
 )
 
 // Load reads the platform's configuration through getenv.
@@ -137,6 +149,13 @@
 	address("ops", c.Ops, false)
 	address("engine", c.Engine, true)
 	address("registry", c.Registry, false)
+	if text := getenv(EnvFD); text != "" {
+		fd, err := strconv.Atoi(text)
+		if err != nil || fd < leastFD || fd > mostFD {
+			fail(EnvFD, "is %q, want the number of a descriptor from %d", text, leastFD)
+		}
+		c.InheritedFD = fd
+	}
 	if r.Seed != "" {
 		seed, err := strconv.ParseUint(r.Seed, 16, 64)
 		if err != nil {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -8,7 +8,7 @@
 
 import (
 	"fmt"
-	"hash/maphash"
+	"strconv"
 
 	"kiteslip"
 )
@@ -40,6 +40,7 @@
 	GivenUp   Cause = iota // the module gave it up
 	Overdue                // its due time has come
 	RunFailed              // its run ended in an error
+	InDoubt                // another process may have run its key
 )
 
 // Answerer takes the one final answer of a request. The stream tells apart
@@ -81,6 +82,9 @@
 	outcome  kiteslip.Outcome // of its run, once over
 	result   []byte
 	copies   []*Request // wait for the result of this one
+
+	elsewhere bool     // runs in the other process of an upgrade
+	claims    []uint32 // of that one, which wait for the result too
 }
 
 type phase uint8
@@ -153,13 +157,17 @@
 	good    bool
 	stored  bool
 	idle    int64
-	hash    maphash.Seed
 	sweepAt int64
 	dueAt   int64
 	counts  Counts
 	classes []Answers
 
 	withdrawn bool // by an operator
+
+	owner  bool  // of the keys, see keys.go
+	doubt  int64 // keyed requests that came up to then may have run unknown to us
+	peer   Peer  // nil = there is none
+	claims map[kiteslip.RequestID]*Request
 }
 
 // Counts are totals since the start.
@@ -193,9 +201,9 @@
 		set.Log = func(string) {}
 	}
 	return &Core{
-		set: set, worker: worker, runner: runner, good: true, stored: true, hash: maphash.MakeSeed(),
+		set: set, worker: worker, runner: runner, good: true, stored: true, owner: true,
 		open: map[kiteslip.RequestID]*Request{}, names: map[string]*Request{}, table: map[string]*entry{},
-		classes: make([]Answers, len(set.Module.Classes)),
+		claims: map[kiteslip.RequestID]*Request{}, classes: make([]Answers, len(set.Module.Classes)),
 	}, nil
 }
 
@@ -224,8 +232,7 @@
 		return nil
 	}
 	if class.Effect == kiteslip.Keyed {
-		r.entry = fmt.Sprint(r.Class, "/", r.Key)
-		r.sum = maphash.Bytes(c.hash, r.Body)
+		r.entry, r.sum = keyName(r.Class, r.Key), bodySum(r.Body)
 		if c.foreign(r) {
 			return fmt.Errorf("the key %.40q belongs to a request with another body", r.Key)
 		}
@@ -250,6 +257,9 @@
 	return nil
 }
 
+// keyName names the entry of a key in the table.
+func keyName(class int, key string) string { return strconv.Itoa(class) + "/" + key }
+
 // tooLate answers a request whose caller had given up when it was read.
 func (c *Core) tooLate(r *Request) {
 	c.counts.Read++
@@ -321,24 +331,25 @@
 	if e := c.table[r.entry]; outcome == kiteslip.Moot && e != nil && e.ran == r {
 		e.ran, e.guard = nil, 0 // proved never to have run
 	}
-	c.over(r, elapsed)
-	for _, t := range r.copies {
-		c.serveCopy(t, r)
+	c.tell(r)
+	if r.elsewhere {
+		c.serveCopies(r)
+		return
 	}
-	r.copies = nil
+	if outcome == kiteslip.Cancelled && !r.answered {
+		// Guards a place in the module's limit: the module would take the
+		// request back into the hold, where nothing ends it any more.
+		outcome = kiteslip.Failed
+	}
+	c.over(r, elapsed, outcome)
 }
 
-// over ends a run or a copy: it answers the caller and tells the module.
-func (c *Core) over(r *Request, elapsed int64) {
+// over ends a run or a copy: it answers the caller, and those that wait for
+// the same, and tells the module the outcome given.
+func (c *Core) over(r *Request, elapsed int64, outcome kiteslip.Outcome) {
 	delete(c.open, r.id)
 	delete(c.names, r.Name)
-	outcome := r.outcome
 	if !r.answered {
-		if outcome == kiteslip.Cancelled {
-			// Guards a place in the module's limit: the module would take the
-			// request back into the hold, where nothing ends it any more.
-			outcome = kiteslip.Failed
-		}
 		switch r.outcome {
 		case kiteslip.OK:
 			c.answer(r, Answer{Code: Served, Result: r.result})
@@ -350,6 +361,15 @@
 	}
 	c.events = append(c.events, kiteslip.Event{Kind: kiteslip.Done, ID: r.id, Outcome: outcome, Elapsed: elapsed})
 	r.Body = nil
+	c.serveCopies(r)
+}
+
+// serveCopies answers those that wait for the result of r.
+func (c *Core) serveCopies(r *Request) {
+	for _, t := range r.copies {
+		c.serveCopy(t, r)
+	}
+	r.copies = nil
 }
 
 // serveCopy answers t with what became of the request that it repeats.
@@ -361,7 +381,7 @@
 	if of.outcome != kiteslip.OK {
 		t.outcome = kiteslip.Failed
 	}
-	c.over(t, 0)
+	c.over(t, 0, t.outcome)
 }
 
 // Gauges takes in the machine's own readings.
@@ -535,9 +555,20 @@
 			c.copyOf(r, e.ran)
 			return
 		}
+		if c.inDoubt(r.Arrived) {
+			c.answer(r, Answer{Code: Failed, Cause: InDoubt})
+			c.drop(r)
+			c.events = append(c.events, kiteslip.Event{Kind: kiteslip.Done, ID: r.id, Outcome: kiteslip.Moot})
+			return
+		}
 		e.ran, e.guard = r, r.Arrived+class.Window+keyMargin
 	}
 	r.phase, r.began = running, now
+	if class.Effect == kiteslip.Keyed && !c.owner {
+		c.claims[r.id] = r
+		c.peer.Claim(uint32(r.id), r.Class, r.Key, r.Arrived, r.sum)
+		return
+	}
 	c.runner.Run(r)
 }
 
@@ -601,10 +632,8 @@
 	r.phase = dropped
 	delete(c.open, r.id)
 	delete(c.names, r.Name)
-	for _, t := range r.copies {
-		c.serveCopy(t, r)
-	}
-	r.copies, r.Body = nil, nil
+	c.serveCopies(r)
+	r.Body = nil
 }
 
 // forget takes the entry of r out of the table, unless another try holds it or has run.
@@ -646,6 +675,9 @@
 		c.events = append(c.events, kiteslip.Event{Kind: kiteslip.Gone, ID: r.id})
 		if r.phase != running {
 			c.drop(r)
+		} else if c.claims[r.id] != nil {
+			// Guards places in the module's limit against an owner that says nothing.
+			c.events = append(c.events, kiteslip.Event{Kind: kiteslip.Done, ID: r.id, Outcome: kiteslip.Moot})
 		}
 	}
 }
--- /dev/null
+++ b/internal/handover/place.go
@@ -0,0 +1,153 @@
+package handover
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	socketName = "kiteslip.sock"
+	lockName   = "kiteslip.keys"
+	maxPath    = 100 // the system takes 107 bytes of a Unix socket's path
+)
+
+// Place is where the processes of one server meet: a folder that they share.
+type Place struct {
+	dir  string
+	lock *os.File
+	last time.Time // when an earlier owner was last alive; zero = there was none
+}
+
+// NewPlace returns the meeting place in dir.
+func NewPlace(dir string) (*Place, error) {
+	p := &Place{dir: dir}
+	if n := len(p.socket()) + len(".12345678"); n > maxPath {
+		return nil, fmt.Errorf("handover: the path of %s is too long for a socket", dir)
+	}
+	path := filepath.Join(dir, lockName)
+	if info, err := os.Stat(path); err == nil {
+		p.last = info.ModTime()
+	}
+	var err error
+	if p.lock, err = os.OpenFile(path, os.O_RDWR|os.O_CREATE, 0o600); err != nil {
+		return nil, fmt.Errorf("handover: %w", err)
+	}
+	return p, nil
+}
+
+func (p *Place) socket() string { return filepath.Join(p.dir, socketName) }
+
+// Last is when an earlier owner was last alive, as found at the start; zero = there was none.
+func (p *Place) Last() time.Time { return p.last }
+
+// Own takes the ownership of the keys if no other process has it.
+func (p *Place) Own() bool {
+	return unix.Flock(int(p.lock.Fd()), unix.LOCK_EX|unix.LOCK_NB) == nil && p.Touch() == nil
+}
+
+// Touch notes that the owner is alive.
+func (p *Place) Touch() error {
+	t := time.Now()
+	return os.Chtimes(p.lock.Name(), t, t)
+}
+
+// Disown gives the ownership up.
+func (p *Place) Disown() error { return unix.Flock(int(p.lock.Fd()), unix.LOCK_UN) }
+
+// Dial reaches the process that serves now; nil = there is none.
+func (p *Place) Dial() *net.UnixConn {
+	c, err := net.DialUnix("unix", nil, &net.UnixAddr{Name: p.socket(), Net: "unix"})
+	if err != nil {
+		return nil
+	}
+	return c
+}
+
+// Listen makes this process the one that Dial reaches, in place of any other,
+// dead or alive: the socket takes the name in one step.
+func (p *Place) Listen() (*net.UnixListener, error) {
+	name := fmt.Sprintf("%s.%d", p.socket(), os.Getpid())
+	if err := os.Remove(name); err != nil && !errors.Is(err, os.ErrNotExist) {
+		return nil, fmt.Errorf("handover: %w", err)
+	}
+	l, err := net.ListenUnix("unix", &net.UnixAddr{Name: name, Net: "unix"})
+	if err != nil {
+		return nil, fmt.Errorf("handover: %w", err)
+	}
+	l.SetUnlinkOnClose(false) // by then the name may be another's
+	if err = os.Chmod(name, 0o600); err == nil {
+		err = os.Rename(name, p.socket())
+	}
+	if err != nil {
+		l.Close()
+		return nil, fmt.Errorf("handover: %w", err)
+	}
+	return l, nil
+}
+
+// Close frees the lock file.
+func (p *Place) Close() error { return p.lock.Close() }
+
+// greeting goes ahead of the messages, with a listener's descriptor where there is one to pass on.
+const greeting = "kite"
+
+// Pass greets a newcomer and gives it a listener; nil = there is none.
+func Pass(c *net.UnixConn, l *net.TCPListener) error {
+	if l == nil {
+		_, err := c.Write([]byte(greeting))
+		return err
+	}
+	raw, err := l.SyscallConn() // File would set the listener to block
+	if err != nil {
+		return err
+	}
+	failed := raw.Control(func(fd uintptr) {
+		_, _, err = c.WriteMsgUnix([]byte(greeting), unix.UnixRights(int(fd)), nil)
+	})
+	return errors.Join(failed, err)
+}
+
+// Take reads the greeting by the deadline and returns the listener that came with it, or nil.
+func Take(c *net.UnixConn, deadline time.Time) (net.Listener, error) {
+	if err := c.SetReadDeadline(deadline); err != nil {
+		return nil, err
+	}
+	buf, oob := make([]byte, len(greeting)), make([]byte, unix.CmsgSpace(4))
+	n, oobn, _, _, err := c.ReadMsgUnix(buf, oob)
+	if err != nil || string(buf[:n]) != greeting {
+		return nil, fmt.Errorf("handover: no greeting: %w", errors.Join(err, ErrMessage))
+	}
+	if err := c.SetReadDeadline(time.Time{}); err != nil {
+		return nil, err
+	}
+	control, err := unix.ParseSocketControlMessage(oob[:oobn])
+	if err != nil || len(control) == 0 {
+		return nil, err
+	}
+	fds, err := unix.ParseUnixRights(&control[0])
+	if err != nil || len(fds) == 0 {
+		return nil, err
+	}
+	return Inherit(fds[0])
+}
+
+// Inherit returns the listener that a descriptor stands for, and frees the descriptor.
+func Inherit(fd int) (net.Listener, error) {
+	unix.CloseOnExec(fd)
+	if yes, err := unix.GetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_ACCEPTCONN); err != nil || yes == 0 {
+		return nil, fmt.Errorf("descriptor %d is no listening socket", fd)
+	}
+	f := os.NewFile(uintptr(fd), "inherited")
+	defer f.Close()
+	l, err := net.FileListener(f)
+	if err != nil {
+		return nil, fmt.Errorf("descriptor %d: %w", fd, err)
+	}
+	return l, nil
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -96,10 +96,11 @@
 	awayAt    int64 // when connections are told to go
 	closeAt   int64 // when listeners close
 	away      bool
-	serving   bool        // clients are taken
-	called    int         // runs that were handed to backends
-	applied   int         // configuration files taken at SIGHUP
-	rejected  int         // and turned down
+	serving   bool // clients are taken
+	called    int  // runs that were handed to backends
+	applied   int  // configuration files taken at SIGHUP
+	rejected  int  // and turned down
+	handing   upgrade
 	stopping  atomic.Bool // listeners are closed on purpose
 	over      atomic.Bool // the run has ended
 
@@ -192,26 +193,21 @@
 			return err
 		}
 	}
+	if err = s.meet(); err != nil {
+		return err
+	}
+	defer s.closeUpgrade()
 	if err = s.Listen(); err != nil {
 		return err
 	}
 	defer s.unlisten()
-	s.onLoop(func() {
-		s.timer = time.AfterFunc(time.Hour, func() { s.onLoop(s.round) })
-		s.round()
-	})
+	s.onLoop(s.begin)
 	close(s.up)
 	s.onLoop(s.reach)
 	if s.door != nil {
 		defer s.door.Close()
 		go s.accept(*s.door)
 	}
-	for _, l := range s.listeners {
-		go s.accept(l)
-	}
-	s.onLoop(func() { s.serving = true })
-	s.log.Info("serving", zap.String("name", s.cfg.Name), zap.String("listen", s.cfg.Listen),
-		zap.String("uwsgi", s.cfg.UWSGI.Listen))
 	for {
 		select {
 		case sig := <-signals:
@@ -240,15 +236,22 @@
 	}
 	for _, f := range []struct {
 		address string
+		passed  net.Listener // by the old process of an upgrade
 		session func() handler
 	}{
-		{s.cfg.Listen, func() handler { return newSession(s) }},
-		{s.cfg.UWSGI.Listen, func() handler { return newWebSession(s) }},
+		{s.cfg.Listen, nil, func() handler { return newSession(s) }},
+		{s.cfg.UWSGI.Listen, s.handing.web, func() handler { return newWebSession(s) }},
 	} {
 		if f.address == "" {
 			continue
 		}
-		l, err := net.Listen("tcp", f.address)
+		l, err := f.passed, error(nil)
+		switch {
+		case s.cfg.InheritedFD != 0 && len(s.listeners) == 0:
+			l, err = s.inherit()
+		case l == nil:
+			l, err = net.Listen("tcp", f.address)
+		}
 		if err != nil {
 			s.unlisten()
 			return fmt.Errorf("listen: %w", err)
@@ -426,6 +429,7 @@
 	s.flush()
 	s.expire(t)
 	s.tidy(t)
+	s.tend(t)
 	s.leave(t)
 	s.report(t)
 	s.arm()
@@ -448,6 +452,9 @@
 	if s.stopAt != 0 {
 		next = min(next, now()+20_000)
 	}
+	if s.handing.peer != nil {
+		next = min(next, max(s.handing.loadAt, now()))
+	}
 	if s.webs > 0 || len(s.backends) > 0 {
 		next = min(next, max(s.expireAt, now()))
 	}
@@ -462,6 +469,7 @@
 	if t >= s.reportAt {
 		s.reportAt = t + registry.Interval
 		s.link.Expire()
+		s.guard(t)
 		for tag, c := range s.checks {
 			if t >= c.until {
 				s.Tested(tag, false)
@@ -496,6 +504,10 @@
 		return
 	}
 	t := now()
+	if s.replaced() {
+		s.handOff(t)
+		return
+	}
 	s.stopAt = t + s.cfg.Stop
 	s.awayAt = t + max(0, min(s.cfg.Module.DrainGrace, s.cfg.Stop-answerTime))
 	s.closeAt = max(s.awayAt, min(s.awayAt+refuseTime, s.stopAt-closeTime))
@@ -526,7 +538,7 @@
 	if t >= s.closeAt && !s.stopping.Load() {
 		s.unlisten()
 	}
-	quiet := t >= s.closeAt+lingerClose && s.core.Owed() == 0 && s.unsent() == 0
+	quiet := t >= s.closeAt+lingerClose && s.core.Owed() == 0 && s.unsent() == 0 && s.emptied()
 	if quiet || t >= s.stopAt-exitMargin {
 		s.over.Store(true)
 		s.status()
--- /dev/null
+++ b/internal/server/upgrade.go
@@ -0,0 +1,470 @@
+package server
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"runtime/debug"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+	"go.uber.org/zap"
+
+	"kiteslip"
+	"kiteslip/internal/core"
+	"kiteslip/internal/handover"
+)
+
+// An upgrade: the next process of this server starts while this one serves,
+// and the two are one server until this one ends. docs/design.md says who may
+// do what when; here the two are tied to the loop.
+const (
+	greetWithin  = 1_000_000 // for the old process to greet the new one
+	tableWithin  = 4_000_000 // from the start, for its keys; clients are taken then, with or without
+	engineWithin = 4_500_000 // from the start, for the engine to answer
+	silentPeer   = 5_000_000 // a process that says nothing for longer has stalled
+	loadEvery    = 20_000    // between two words on the load, which also say that we live
+	leaveMost    = 3_000_000 // what the platform counts of the longest deadline before it kills
+	leaveRest    = 700_000   // ... and adds
+	peerOutMost  = 8 << 20   // a process that reads less than that has stalled
+	memoryShared = 2         // processes share the memory and the places
+)
+
+// upgrade is what a server knows of the process before or after it.
+type upgrade struct {
+	place    *handover.Place
+	listener *net.UnixListener
+	dialed   *net.UnixConn // to the old process, before the loop has it
+	web      net.Listener  // of the uwsgi front, as passed on; nil = none
+	began    int64
+	peer     *peerConn // in use; nil = there is none
+	waiting  *peerConn // has come to take our place and has to wait
+	reserved int       // places left to the other process
+	admitted bool      // clients are taken
+	handed   bool      // our place was handed over
+	loadAt   int64
+}
+
+// peerConn is the connection between the two processes.
+type peerConn struct {
+	s       *Server
+	conn    gnet.Conn
+	newer   bool // it is to take our place
+	out     []byte
+	gone    bool
+	heardAt int64
+}
+
+func (p *peerConn) opened(c gnet.Conn) {
+	p.conn, p.heardAt = c, now()
+	if !p.newer {
+		p.s.handing.peer = p
+		p.send(&handover.Message{Kind: handover.Hello, Text: p.s.cfg.Name})
+		p.s.share()
+	}
+}
+
+func (p *peerConn) closed() {
+	p.gone = true
+	u := &p.s.handing
+	if u.waiting == p {
+		u.waiting = nil
+	}
+	if u.peer == p {
+		u.peer = nil
+		p.s.log.Info("the other process is gone", zap.Bool("newer", p.newer))
+		p.s.core.PeerLost()
+		p.s.core.Beside(0, 0)
+		p.s.unshare()
+		p.s.schedule()
+	}
+}
+
+// feed takes in messages. Guards against what no process of this server says: the link ends.
+func (p *peerConn) feed(b []byte) (int, error) {
+	p.heardAt = now()
+	used := 0
+	for {
+		m, n, err := handover.Split(b[used:])
+		if err == nil && n > 0 {
+			used += n
+			err = p.take(&m)
+		}
+		if err != nil {
+			p.s.log.Error("upgrade", zap.Error(err))
+			return used, err
+		}
+		if n == 0 {
+			return used, nil
+		}
+	}
+}
+
+var errOrder = errors.New("a message that does not belong here")
+
+func (p *peerConn) take(m *handover.Message) error {
+	s, u := p.s, &p.s.handing
+	if m.Kind == handover.Hello {
+		if !p.newer || m.Text != s.cfg.Name || u.peer == p || u.waiting != nil {
+			return fmt.Errorf("%w: %q wants to take the place", errOrder, m.Text)
+		}
+		u.waiting = p
+		s.give()
+		return nil
+	}
+	if u.peer != p {
+		return errOrder
+	}
+	class, known := -1, false
+	switch m.Kind {
+	case handover.Record, handover.Claim, handover.Ended:
+		if class, known = s.keyedClass(m.Text); !known {
+			if m.Kind == handover.Claim {
+				p.Had(m.ID, kiteslip.Failed, nil)
+			}
+			return nil // a class that only the other one has
+		}
+	}
+	if m.Outcome > uint8(kiteslip.Moot) {
+		return errOrder
+	}
+	switch m.Kind {
+	case handover.Record:
+		if p.newer || s.core.Owner() {
+			return errOrder
+		}
+		s.core.Learn(core.Record{Class: class, Key: m.Key, Arrived: m.Arrived, Guard: m.Guard, Sum: m.Sum, Over: m.Over,
+			Outcome: kiteslip.Outcome(m.Outcome), Result: m.Result})
+	case handover.Yours:
+		if p.newer || s.core.Owner() {
+			return errOrder
+		}
+		s.own(m.Guard)
+	case handover.Claim:
+		s.core.Claimed(m.ID, class, m.Key, m.Arrived, m.Sum)
+	case handover.Ended:
+		s.core.Ended(class, m.Key, m.Arrived, kiteslip.Outcome(m.Outcome), m.Result)
+	case handover.Grant:
+		s.core.Granted(now(), m.ID)
+	case handover.Had:
+		s.core.Had(m.ID, kiteslip.Outcome(m.Outcome), m.Result)
+	case handover.Load:
+		s.core.Beside(int(m.Runs), float64(m.KB))
+	}
+	s.schedule()
+	return nil
+}
+
+// keyedClass returns the place of the keyed class of that name.
+func (s *Server) keyedClass(name string) (int, bool) {
+	class, known := s.names.Classes[name]
+	return class, known && s.names.Keyed[class]
+}
+
+// send queues a message for the end of the round.
+func (p *peerConn) send(m *handover.Message) {
+	if len(p.out) == 0 {
+		p.s.dirty = append(p.s.dirty, p)
+	}
+	var err error
+	if p.out, err = handover.Append(p.out, m); err != nil {
+		p.s.log.Error("upgrade", zap.Error(err))
+	}
+	p.s.schedule()
+}
+
+// flush writes what waits. Guards the memory against a process that reads nothing.
+func (p *peerConn) flush() {
+	if p.gone || len(p.out) == 0 {
+		return
+	}
+	gather(p.conn, [][]byte{p.out})
+	p.out = p.out[:0]
+	if !p.gone && p.conn.OutboundBuffered() > peerOutMost {
+		p.s.log.Warn("the other process has stalled")
+		hangUp(p.conn)
+	}
+}
+
+func (p *peerConn) idle() idle      { return idle{} }
+func (p *peerConn) unsent() int     { return p.conn.OutboundBuffered() }
+func (p *peerConn) peer() gnet.Conn { return p.conn }
+
+// Claim asks the owner for the start of a request.
+func (p *peerConn) Claim(id uint32, class int, key string, arrived int64, sum uint64) {
+	p.send(&handover.Message{Kind: handover.Claim, ID: id, Text: p.s.cfg.Classes[class], Key: key, Arrived: arrived, Sum: sum})
+}
+
+// Grant lets a request of the other process start.
+func (p *peerConn) Grant(id uint32) { p.send(&handover.Message{Kind: handover.Grant, ID: id}) }
+
+// Had says what became of the key of one that may not.
+func (p *peerConn) Had(id uint32, outcome kiteslip.Outcome, result []byte) {
+	p.send(&handover.Message{Kind: handover.Had, ID: id, Outcome: uint8(outcome), Result: result})
+}
+
+// Ended reports the end of a run of which the other process keeps the record.
+func (p *peerConn) Ended(class int, key string, arrived int64, outcome kiteslip.Outcome, result []byte) {
+	p.send(&handover.Message{Kind: handover.Ended, Text: p.s.cfg.Classes[class], Key: key, Arrived: arrived,
+		Outcome: uint8(outcome), Result: result})
+}
+
+// meet looks for a process whose place this one is to take, before anything
+// is listened on. Where there is none, the keys are this one's own at once.
+func (s *Server) meet() error {
+	u := &s.handing
+	u.began = now()
+	if s.cfg.InheritedFD == 0 {
+		return nil
+	}
+	var err error
+	if u.place, err = handover.NewPlace(os.TempDir()); err != nil {
+		return err
+	}
+	s.core.Disown(nil)
+	if u.dialed = u.place.Dial(); u.dialed == nil {
+		if u.place.Own() {
+			s.core.Own(s.doubtSince(u.place.Last()))
+		}
+		return nil
+	}
+	// Guards the start against an old process that is stuck: what it does is then in doubt, see guard.
+	if u.web, err = handover.Take(u.dialed, time.UnixMicro(u.began+greetWithin)); err != nil {
+		s.log.Warn("upgrade", zap.Error(err))
+		u.dialed.Close()
+		u.dialed = nil
+	}
+	return nil
+}
+
+// begin starts the loop's work, and the talk with the old process if there is one.
+func (s *Server) begin() {
+	s.timer = time.AfterFunc(time.Hour, func() { s.onLoop(s.round) })
+	u := &s.handing
+	if u.place == nil {
+		s.admit()
+	}
+	if u.dialed != nil {
+		go s.enrol(u.dialed, &peerConn{s: s})
+	}
+	s.round()
+}
+
+// enrol gives a connection between the two processes to the loop. It waits for
+// the loop, so it runs beside it.
+func (s *Server) enrol(c *net.UnixConn, p *peerConn) {
+	if _, err := s.client.EnrollContext(c, p); err != nil {
+		s.log.Warn("upgrade", zap.Error(err))
+	}
+}
+
+// doubtSince is until when what another process started without our knowledge may still count.
+func (s *Server) doubtSince(last time.Time) int64 {
+	if last.IsZero() {
+		return 0
+	}
+	return last.UnixMicro() + s.core.Window()
+}
+
+// own takes the keys over, if no other process has them.
+func (s *Server) own(doubt int64) {
+	if s.handing.place.Own() {
+		s.log.Info("the keys are owned here", zap.Int64("doubt_ms", max(0, (doubt-now())/1000)))
+		s.core.Own(doubt)
+		if p := s.handing.peer; p != nil {
+			s.core.Meet(p)
+		}
+	}
+	s.schedule()
+}
+
+// give hands the keys to the process that has come to take our place. It waits
+// while this one is itself still being handed a place, or is leaving.
+func (s *Server) give() {
+	u := &s.handing
+	p := u.waiting
+	if p == nil || u.peer != nil || !s.core.Owner() || s.stopAt != 0 {
+		return
+	}
+	u.waiting, u.peer, u.handed = nil, p, true
+	s.share()
+	doubt := s.core.Disown(p)
+	if err := u.place.Disown(); err != nil {
+		s.log.Error("upgrade", zap.Error(err))
+	}
+	n := 0
+	for r := range s.core.Records {
+		n++
+		p.send(&handover.Message{Kind: handover.Record, Text: s.cfg.Classes[r.Class], Key: r.Key, Arrived: r.Arrived, Guard: r.Guard,
+			Sum: r.Sum, Over: r.Over, Outcome: uint8(r.Outcome), Result: r.Result})
+	}
+	p.send(&handover.Message{Kind: handover.Yours, Guard: doubt})
+	s.log.Info("the keys are handed over", zap.Int("keys", n))
+}
+
+// tend keeps an upgrade going; it is called once a round.
+func (s *Server) tend(t int64) {
+	u := &s.handing
+	if u.place == nil {
+		return
+	}
+	s.give()
+	if u.peer != nil && t >= u.loadAt {
+		u.loadAt = t + loadEvery
+		runs, kb := s.core.OnEngine()
+		u.peer.send(&handover.Message{Kind: handover.Load, Runs: uint32(runs), KB: uint32(kb)})
+	}
+	if u.peer != nil && t-u.peer.heardAt > silentPeer {
+		s.log.Warn("the other process has stalled")
+		hangUp(u.peer.conn)
+	}
+	s.reserve()
+	if !u.admitted && (s.core.Owner() && s.link.Ready() || s.core.Owner() && t-u.began > engineWithin ||
+		!s.core.Owner() && t-u.began > tableWithin) {
+		s.admit()
+	}
+}
+
+// guard keeps the ownership known to be alive, or takes it where the owner has
+// died. It is called as often as the reports.
+func (s *Server) guard(t int64) {
+	u := &s.handing
+	switch {
+	case u.place == nil:
+	case s.core.Owner():
+		if err := u.place.Touch(); err != nil {
+			s.log.Warn("upgrade", zap.Error(err))
+		}
+	case u.peer == nil && s.stopAt == 0:
+		// The owner may have started runs until a moment ago.
+		if u.place.Own() {
+			u.handed = false
+			s.own(t + s.core.Window())
+		}
+	}
+}
+
+// admit begins to take clients, and to wait for the process that comes next.
+func (s *Server) admit() {
+	u := &s.handing
+	u.admitted = true
+	if u.place != nil {
+		var err error
+		if u.listener, err = u.place.Listen(); err != nil {
+			s.log.Error("upgrade", zap.Error(err)) // this one serves, but cannot be relieved
+		} else {
+			go s.welcome(u.listener)
+		}
+	}
+	s.serving = true
+	for _, l := range s.listeners {
+		go s.accept(l)
+	}
+	s.log.Info("serving", zap.String("name", s.cfg.Name), zap.String("listen", s.cfg.Listen),
+		zap.String("uwsgi", s.cfg.UWSGI.Listen), zap.Bool("keys", s.core.Owner()))
+}
+
+// welcome lets in processes that come to take our place.
+func (s *Server) welcome(l *net.UnixListener) {
+	for {
+		c, err := l.AcceptUnix()
+		if err != nil {
+			return
+		}
+		var web *net.TCPListener
+		if s.cfg.Listen != "" && s.cfg.UWSGI.Listen != "" {
+			web, _ = s.listeners[len(s.listeners)-1].Listener.(*net.TCPListener)
+		}
+		if err = handover.Pass(c, web); err != nil {
+			s.log.Warn("upgrade", zap.Error(err))
+			c.Close()
+			continue
+		}
+		s.enrol(c, &peerConn{s: s, newer: true})
+	}
+}
+
+// replaced says whether another process has taken our place and lives.
+func (s *Server) replaced() bool { return s.handing.handed && !s.core.Owner() }
+
+// handOff takes in SIGTERM where another process has our place: it is no
+// notice to drain. Callers are sent to new connections, which the other one
+// takes, and what was read is answered.
+func (s *Server) handOff(t int64) {
+	longest := int64(0)
+	for i := range s.cfg.Module.Classes {
+		longest = max(longest, s.cfg.Module.Classes[i].Limit)
+	}
+	s.stopAt = t + min(longest, leaveMost) + leaveRest
+	s.awayAt, s.closeAt = t, t
+	s.log.Info("leaving to the other process", zap.Int64("stop_ms", (s.stopAt-t)/1000))
+	s.core.Leave(s.stopAt)
+	s.round()
+}
+
+// emptied says whether nothing is left here that the other process may want, or a caller.
+func (s *Server) emptied() bool {
+	if !s.handing.handed {
+		return true
+	}
+	for h := range s.sessions {
+		switch h.(type) {
+		case *session, *webSession:
+			return false
+		}
+	}
+	return s.core.KeyedRuns() == 0
+}
+
+// share leaves half of the memory and of the places to the other process; unshare takes them back.
+func (s *Server) share() {
+	debug.SetMemoryLimit(s.cfg.Limits.Heap() / memoryShared)
+	s.reserve()
+}
+
+func (s *Server) unshare() {
+	debug.SetMemoryLimit(s.cfg.Limits.Heap())
+	for ; s.handing.reserved > 0; s.handing.reserved-- {
+		<-s.slots
+	}
+}
+
+// reserve keeps places free for the other process, as soon as they are.
+func (s *Server) reserve() {
+	for s.handing.peer != nil && s.handing.reserved < cap(s.slots)/memoryShared {
+		select {
+		case s.slots <- struct{}{}:
+			s.handing.reserved++
+		default:
+			return
+		}
+	}
+}
+
+// inherit returns the clients' listener that the platform holds.
+func (s *Server) inherit() (net.Listener, error) {
+	l, err := handover.Inherit(s.cfg.InheritedFD)
+	if err != nil {
+		return nil, err
+	}
+	if _, ok := l.(*net.TCPListener); !ok {
+		l.Close()
+		return nil, fmt.Errorf("descriptor %d is no TCP socket", s.cfg.InheritedFD)
+	}
+	return l, nil
+}
+
+// closeUpgrade frees what an upgrade needs, at the end.
+func (s *Server) closeUpgrade() {
+	u := &s.handing
+	if u.listener != nil {
+		u.listener.Close()
+	}
+	if u.web != nil {
+		u.web.Close()
+	}
+	if u.place != nil {
+		u.place.Close()
+	}
+}
--- a/kiteslip.go
+++ b/kiteslip.go
@@ -130,13 +130,15 @@
 
 // The events.
 const (
-	Arrive EventKind = iota + 1 // a request was read and is now held
-	Done                        // a run or a reuse ended: Outcome, Elapsed
-	Needs                       // a run stands at a call below
-	Called                      // a call ended: Outcome, Elapsed
-	Gone                        // nobody waits for this request any longer
-	Timer                       // a timer is due: Token, Gauges
-	Drain                       // the worker will be stopped at Deadline
+	Arrive   EventKind = iota + 1 // a request was read and is now held
+	Done                          // a run or a reuse ended: Outcome, Elapsed
+	Needs                         // a run stands at a call below
+	Called                        // a call ended: Outcome, Elapsed
+	Gone                          // nobody waits for this request any longer
+	Timer                         // a timer is due: Token, Gauges
+	Drain                         // the worker will be stopped at Deadline
+	Handover                      // another has its place: it still answers what comes, and is stopped at Deadline
+	Beside                        // another worker shares its machine: Runs on the cores, SizeKB booked
 )
 
 // Outcome says how a run or a call ended.
@@ -172,7 +174,8 @@
 	Tenant   int
 	Sender   int
 	Key      uint64
-	Deadline int64 // Arrive: when its caller gives up (0 = untold); Drain: when the worker is stopped
+	Deadline int64 // Arrive: when its caller gives up (0 = untold); Drain, Handover: when the worker is stopped
+	Runs     int   // Beside
 	Waited   int64 // Arrive: time since it reached the machine
 	Hint     int64 // Arrive: expected work, 0 = untold
 	Elapsed  int64 // Done, Called
--- a/policy.go
+++ b/policy.go
@@ -144,7 +144,10 @@
 	probeAt, spanEnd, callSpan    int64
 	callNext                      int64 // no call before this
 	born, drainAt, stop           int64
-	timerAt, adviseAt, tail       int64 // tail: the wait of the last in the hold
+	replaced                      bool    // another worker has this one's place: stop is no notice to leave
+	besideRuns                    int     // what another worker has on this machine
+	besideKB                      float64 // ... and has booked
+	timerAt, adviseAt, tail       int64   // tail: the wait of the last in the hold
 	timerToken                    uint64
 	floor, said, unread           float64               // unread: mean time to be read, of late
 	meanBase, meanAim, leastAim   float64               // over the classes as they are asked for
@@ -224,7 +227,11 @@
 	case Arrive:
 		return w.arrive(e, acts)
 	case Drain:
-		w.drainAt, w.stop = w.now, e.Deadline
+		w.drainAt, w.stop, w.replaced = w.now, e.Deadline, false
+	case Handover:
+		w.stop, w.replaced = e.Deadline, true
+	case Beside:
+		w.besideRuns, w.besideKB = max(0, e.Runs), max(0, e.SizeKB)
 	case Timer:
 		if e.Token == w.timerToken {
 			w.timerAt = 0
@@ -343,7 +350,8 @@
 		p := refuseChance(w.memory, w.top()) // the memory in use holds this arrival already
 		draw := p >= 1 || p > 0 && w.rng.Float64() < p
 		noRoom := c.Effect == Keyed && w.memory+w.set.KeyKB > w.top()
-		leaving := w.stop != 0 && (r.reached > w.drainAt+w.set.DrainGrace || w.now >= w.stop-stopMargin-leaveMargin)
+		leaving := w.stop != 0 && (!w.replaced && r.reached > w.drainAt+w.set.DrainGrace ||
+			w.now >= w.stop-stopMargin-leaveMargin)
 		// Guards against failing fast: what is refused can be served elsewhere.
 		failing := w.failing > failTell && w.now < w.probeAt && w.rng.Float64() < w.failing
 		if draw || noRoom || failing || leaving {
@@ -904,7 +912,7 @@
 
 // advise tells callers how much to send, from this worker's own load.
 func (w *Worker) advise(acts []Action) []Action {
-	healthy := w.stop == 0 && w.failing < failOff && !w.stalled()
+	healthy := (w.stop == 0 || w.replaced) && w.failing < failOff && !w.stalled()
 	if healthy != w.healthy {
 		w.healthy = healthy
 		acts = append(acts, Action{Kind: Health, On: healthy, Stored: true})
@@ -961,7 +969,7 @@
 
 // stalled says that none of what is on the cores gets on; one long run on a small machine is no stall.
 func (w *Worker) stalled() bool {
-	return float64(w.now-w.progress)*float64(min(w.onCore, w.set.Cores)) > stallRuns*w.meanBase
+	return float64(w.now-w.progress)*float64(min(w.onCore-w.besideRuns, w.set.Cores)) > stallRuns*w.meanBase
 }
 
 // arm keeps a timer going.
--- a/state.go
+++ b/state.go
@@ -79,7 +79,7 @@
 
 // count adds up what is in hand. It is done anew for each batch, so that no error can build up.
 func (w *Worker) count() {
-	w.onCore, w.inHand, w.atCalls, w.out, w.memory = 0, 0, 0, 0, 0
+	w.onCore, w.inHand, w.atCalls, w.out, w.memory = w.besideRuns, w.besideRuns, 0, 0, w.besideKB
 	for i := range w.reqs {
 		r := &w.reqs[i]
 		switch r.phase {
@@ -111,7 +111,7 @@
 
 // onto notes that a run is on the cores from now.
 func (w *Worker) onto(r *request) {
-	if w.onCore == 0 {
+	if w.onCore == w.besideRuns {
 		w.progress = w.now
 	}
 	r.phase, r.began, r.mark = running, w.now, w.share
