Test the upgrade: two cores against a model, two servers on one socket

A model of two cores hands the keys over at any point, cuts the link and lets either die; two servers share an inherited socket.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -320,6 +320,7 @@
 	if r.phase == held || r.phase == copying {
 		c.drop(r)
 	}
+	c.letGo(r)
 }
 
 // Done takes in the end of r's run, after elapsed microseconds.
@@ -499,6 +500,7 @@
 		if r.phase != running {
 			c.drop(r)
 		}
+		c.letGo(r)
 	case kiteslip.Reuse:
 		c.reuse(r)
 	case kiteslip.Keep:
@@ -675,10 +677,8 @@
 		c.events = append(c.events, kiteslip.Event{Kind: kiteslip.Gone, ID: r.id})
 		if r.phase != running {
 			c.drop(r)
-		} else if c.claims[r.id] != nil {
-			// Guards places in the module's limit against an owner that says nothing.
-			c.events = append(c.events, kiteslip.Event{Kind: kiteslip.Done, ID: r.id, Outcome: kiteslip.Moot})
 		}
+		c.letGo(r)
 	}
 }
 
--- a/internal/core/keys.go
+++ b/internal/core/keys.go
@@ -156,6 +156,14 @@
 	}
 }
 
+// letGo frees the place in the module's limit of an answered request that was
+// only claimed. Guards that against an owner that says nothing.
+func (c *Core) letGo(r *Request) {
+	if c.claims[r.id] != nil {
+		c.events = append(c.events, kiteslip.Event{Kind: kiteslip.Done, ID: r.id, Outcome: kiteslip.Moot})
+	}
+}
+
 // unclaim ends a request that never started here, with what became of its key.
 // The module hears of no run: one that took no time would mislead it.
 func (c *Core) unclaim(r *Request, outcome kiteslip.Outcome, result []byte) {
--- /dev/null
+++ b/internal/handover/handover_test.go
@@ -0,0 +1,195 @@
+package handover
+
+import (
+	"bytes"
+	"net"
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// Messages come out as they went in, however the stream is cut.
+func TestMessages(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var sent []Message
+		var stream []byte
+		for range rapid.IntRange(1, 6).Draw(t, "messages") {
+			m := Message{Kind: Kind(rapid.IntRange(int(Hello), int(Load)).Draw(t, "kind")), ID: rapid.Uint32().Draw(t, "id"),
+				Arrived: rapid.Int64().Draw(t, "arrived"), Guard: rapid.Int64().Draw(t, "guard"), Sum: rapid.Uint64().Draw(t, "sum"),
+				Over: rapid.Bool().Draw(t, "over"), Outcome: rapid.Byte().Draw(t, "outcome"), Runs: rapid.Uint32().Draw(t, "runs"),
+				KB: rapid.Uint32().Draw(t, "kb"), Text: strings.Repeat("t", rapid.IntRange(0, maxText).Draw(t, "text")),
+				Key: strings.Repeat("k", rapid.IntRange(0, maxText).Draw(t, "key")), Result: rapid.SliceOfN(rapid.Byte(), 1, 300).Draw(t, "result")}
+			var err error
+			if stream, err = Append(stream, &m); err != nil {
+				t.Fatal(err)
+			}
+			sent = append(sent, m)
+		}
+		var got []Message
+		var buf []byte
+		for len(stream) > 0 {
+			n := rapid.IntRange(1, len(stream)).Draw(t, "cut")
+			buf, stream = append(buf, stream[:n]...), stream[n:]
+			for {
+				m, used, err := Split(buf)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if used == 0 {
+					break
+				}
+				got, buf = append(got, m), buf[used:]
+			}
+		}
+		if !reflect.DeepEqual(got, sent) {
+			t.Fatalf("got %+v, want %+v", got, sent)
+		}
+	})
+}
+
+// What is no message is refused before memory is taken for it, and never a panic.
+func TestBadMessages(t *testing.T) {
+	good, _ := Append(nil, &Message{Kind: Claim, Text: "note", Key: "k", Result: []byte("r")})
+	for what, change := range map[string]func(b []byte){
+		"a huge length":  func(b []byte) { copy(b, "\xff\xff\xff\xff") },
+		"too short":      func(b []byte) { copy(b, "\x00\x00\x00\x05") },
+		"kind 0":         func(b []byte) { b[4] = 0 },
+		"kind 99":        func(b []byte) { b[4] = 99 },
+		"a text too far": func(b []byte) { b[4+40] = 200 },
+		"a key too far":  func(b []byte) { b[4+41] = 255 },
+	} {
+		b := bytes.Clone(good)
+		change(b)
+		if _, n, err := Split(b); err == nil {
+			t.Errorf("%s: %d bytes are taken", what, n)
+		}
+	}
+	if _, err := Append(nil, &Message{Kind: Claim, Key: strings.Repeat("k", 256)}); err == nil {
+		t.Error("a key that does not fit is sent")
+	}
+}
+
+func FuzzSplit(f *testing.F) {
+	b, _ := Append(nil, &Message{Kind: Record, Text: "note", Key: "k"})
+	f.Add(b)
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if _, n, err := Split(b); err == nil && n > len(b) {
+			t.Fatalf("%d bytes of %d", n, len(b))
+		}
+	})
+}
+
+func place(t *testing.T, dir string) *Place {
+	t.Helper()
+	p, err := NewPlace(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { p.Close() })
+	return p
+}
+
+// One owns the keys, and whoever comes after the end of an owner knows when that last lived.
+func TestOwnership(t *testing.T) {
+	dir := t.TempDir()
+	a := place(t, dir)
+	if !a.Last().IsZero() || !a.Own() {
+		t.Fatal("the first process finds an owner")
+	}
+	b := place(t, dir)
+	if b.Own() {
+		t.Fatal("two owners")
+	}
+	if err := a.Disown(); err != nil || !b.Own() || a.Own() {
+		t.Fatalf("the keys do not pass over: %v", err)
+	}
+	b.Close() // as its death would
+	c := place(t, dir)
+	if !c.Own() || time.Since(c.Last()) > time.Minute {
+		t.Errorf("after the owner's death: last alive at %v", c.Last())
+	}
+}
+
+// The latest to listen is the one that is reached, whatever was left behind.
+func TestDialReachesTheLatest(t *testing.T) {
+	dir := t.TempDir()
+	p := place(t, dir)
+	if p.Dial() != nil {
+		t.Fatal("somebody listens in an empty folder")
+	}
+	l, err := p.Listen()
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.Close() // its socket is left
+	if p.Dial() != nil {
+		t.Fatal("a dead process answers")
+	}
+	if err := os.Remove(filepath.Join(dir, socketName)); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(filepath.Join(dir, socketName), []byte("no socket"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if l, err = p.Listen(); err != nil {
+		t.Fatalf("what is left behind stands in the way: %v", err)
+	}
+	defer l.Close()
+	pass, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer pass.Close()
+	go func() {
+		if c, err := l.AcceptUnix(); err == nil {
+			Pass(c, pass.(*net.TCPListener)) //nolint:errcheck // Take tells
+		}
+	}()
+	c := p.Dial()
+	if c == nil {
+		t.Fatal("nobody answers")
+	}
+	defer c.Close()
+	got, err := Take(c, time.Now().Add(5*time.Second))
+	if err != nil || got == nil || got.Addr().String() != pass.Addr().String() {
+		t.Fatalf("the listener passed on: %v, %v", got, err)
+	}
+	got.Close()
+}
+
+// A process that listens and says nothing holds nobody up.
+func TestTakeEnds(t *testing.T) {
+	p := place(t, t.TempDir())
+	l, err := p.Listen()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	c := p.Dial()
+	defer c.Close()
+	if _, err := Take(c, time.Now().Add(50*time.Millisecond)); err == nil {
+		t.Error("a greeting came from nowhere")
+	}
+}
+
+func TestInheritRefusesWhatDoesNotListen(t *testing.T) {
+	f, err := os.Open(os.DevNull)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	if _, err := Inherit(int(f.Fd())); err == nil {
+		t.Error("a file is taken for a listener")
+	}
+}
+
+func TestLongPath(t *testing.T) {
+	if _, err := NewPlace(filepath.Join(t.TempDir(), strings.Repeat("d", 90))); err == nil {
+		t.Error("a path that no socket can have is taken")
+	}
+}
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -56,23 +56,34 @@
 			t.Fatal(err)
 		}
 	}
+	r := launch(t, cfg)
+	r.eventually(t, "it serves", func() bool { return r.serving })
+	return r
+}
+
+// launch runs a server set up by cfg, which need not serve yet.
+func launch(t testing.TB, cfg *config.Config) *running {
+	t.Helper()
 	s, err := New(cfg, zap.NewNop())
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := s.Listen(); err != nil {
-		t.Fatal(err)
-	}
-	r := &running{Server: s, test: t, signals: make(chan os.Signal, 1), end: make(chan error, 1), frames: s.Addresses()[0]}
-	if operator != "" {
-		r.web = s.Addresses()[1]
+	if cfg.InheritedFD == 0 {
+		if err := s.Listen(); err != nil {
+			t.Fatal(err)
+		}
 	}
+	r := &running{Server: s, test: t, signals: make(chan os.Signal, 1), end: make(chan error, 1)}
 	go func() { r.end <- s.Serve(r.signals) }()
 	select {
 	case <-s.up:
 	case err := <-r.end:
 		t.Fatalf("it does not start: %v", err)
 	}
+	r.frames = s.Addresses()[0]
+	if cfg.UWSGI.Listen != "" {
+		r.web = s.Addresses()[1]
+	}
 	t.Cleanup(func() { r.stop(t) })
 	return r
 }
