--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -55,9 +55,14 @@
 	Classes     []string
 	Tenants     []string
 
+	// What a file that came before had and this one has not, see Succeed.
+	ClassesOff, TenantsOff []bool
+
 	UWSGI      UWSGI
 	Backends   []string // by class: the uwsgi server that does the work; "" = the engine
 	MaxResults []int    // by class, bytes
+
+	shape any // the platform's text, decoded: which keys it has
 }
 
 // UWSGI is the set-up of the second front.
@@ -129,6 +134,9 @@
 	r.Listen = cmp.Or(getenv(EnvListen), r.Listen)
 	r.Ops = cmp.Or(getenv(EnvOps), r.Ops)
 	c := &Config{Name: r.Name, Listen: r.Listen, Ops: r.Ops, Engine: r.Engine, Registry: r.Registry, Limits: r.Limits}
+	if err := json.Unmarshal(text, &c.shape); err != nil {
+		return nil, err
+	}
 	var errs []error
 	fail := func(key, format string, args ...any) {
 		errs = append(errs, fmt.Errorf("%s %s", key, fmt.Sprintf(format, args...)))
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -207,6 +207,25 @@
 	}, nil
 }
 
+// Retune takes over new settings, in which classes and tenants have the places
+// that they had, and new ones follow. On an error nothing has changed. A key
+// whose request ran under a shorter window is kept for the longer one.
+func (c *Core) Retune(module kiteslip.Settings) error {
+	if err := c.worker.Retune(module); err != nil {
+		return err
+	}
+	c.set.Module = module
+	for len(c.classes) < len(module.Classes) {
+		c.classes = append(c.classes, Answers{})
+	}
+	for _, e := range c.table {
+		if e.ran != nil && c.keyed(e.ran.Class) {
+			e.guard = max(e.guard, e.ran.Arrived+module.Classes[e.ran.Class].Window+keyMargin)
+		}
+	}
+	return nil
+}
+
 // Warmth tells when the machine's cores came up, and whether they were cold then.
 func (c *Core) Warmth(cold bool, since int64) { c.worker.Warmth(cold, since) }
 
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -70,11 +70,15 @@
 // read on a link that is gone.
 const giveUp = 5_000_000
 
-// NewLink returns a Link for the classes named, in the order of the settings.
-func NewLink(events Events, now func() int64, classes []string, safe []bool) *Link {
-	return &Link{events: events, now: now, classes: classes, safe: safe, runs: map[string]*run{}}
+// NewLink returns a Link, which is to be told the classes before the first run.
+func NewLink(events Events, now func() int64) *Link {
+	return &Link{events: events, now: now, runs: map[string]*run{}}
 }
 
+// Classes names the classes, in the order of the settings, and says which are
+// safe to repeat. The place of a class never changes.
+func (l *Link) Classes(names []string, safe []bool) { l.classes, l.safe = names, safe }
+
 // Attach takes a new connection into use, through send. What it sends must be
 // written, in order, before send returns or kept until it can be.
 func (l *Link) Attach(send func(parts ...[]byte)) {
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -122,7 +122,8 @@
 
 func newPeer(t interface{ Fatalf(string, ...any) }) *peer {
 	p := &peer{t: t, now: 1, live: map[string]bool{}, started: map[string]int{}, ended: map[string]bool{}}
-	p.link = NewLink(p, func() int64 { return p.now }, []string{"safe", "keyed"}, []bool{true, false})
+	p.link = NewLink(p, func() int64 { return p.now })
+	p.link.Classes([]string{"safe", "keyed"}, []bool{true, false})
 	return p
 }
 
@@ -270,7 +271,7 @@
 	for _, text := range []string{"\r\n", "WHAT\r\n", "DONE 1 x complete 1\r\n", "DONE 1 x complete 1 -1\r\n\r\n",
 		"DONE 1 x complete 1 99999999\r\n", "DONE 1 x gone 1 0\r\n\r\n", "DONE 1 x complete 1 1\r\nabc", "HELLO hot\r\n",
 		"NOTE x y\r\n", "TESTED t\r\n", strings.Repeat("x", 5000)} {
-		l := NewLink(&peer{}, func() int64 { return 1 }, nil, nil)
+		l := NewLink(&peer{}, func() int64 { return 1 })
 		l.Attach(func(...[]byte) {})
 		if _, err := l.Feed([]byte(text)); !errors.Is(err, ErrProtocol) {
 			t.Errorf("%.40q: %v", text, err)
--- a/internal/server/reload.go
+++ b/internal/server/reload.go
@@ -1,13 +1,15 @@
 package server
 
 import (
-	"reflect"
 	"slices"
 
 	"go.uber.org/zap"
 
+	"kiteslip"
 	"kiteslip/internal/config"
+	"kiteslip/internal/frame"
 	"kiteslip/internal/registry"
+	"kiteslip/internal/uwsgi"
 )
 
 // reload reads the configuration anew and takes over what can change while
@@ -20,55 +22,82 @@
 	}
 	next, err := s.Reload()
 	if err != nil {
-		s.log.Error("the new configuration is not used", zap.Error(err))
-		s.onLoop(func() { s.rejected++ })
+		s.onLoop(func() { s.turnDown(err) })
 		return
 	}
 	s.onLoop(func() { s.adopt(next) })
 }
 
-// adopt takes over from a checked configuration: the addresses of the engine,
-// the registry and the backends, the time to stop in, and the uwsgi front's
-// time to read. All else is part of what callers were promised or of how the
-// process was set up, so it needs a restart.
+// adopt lays a checked configuration over the one in use, and changes nothing
+// unless all of it can be used. What is part of how the process was set up
+// (names, addresses, limits) needs a restart.
 func (s *Server) adopt(next *config.Config) {
-	cfg := s.cfg
-	for key, differs := range map[string]bool{
-		"name":      next.Name != cfg.Name,
-		"listen":    next.Listen != cfg.Listen || next.UWSGI.Listen != cfg.UWSGI.Listen,
-		"ops":       next.Ops != cfg.Ops,
-		"limits":    next.Limits != cfg.Limits,
-		"contracts": !reflect.DeepEqual(next.UWSGI.Contracts, cfg.UWSGI.Contracts) || !reflect.DeepEqual(next.MaxResults, cfg.MaxResults),
-		"settings":  !reflect.DeepEqual(next.Module, cfg.Module) || !reflect.DeepEqual(next.Classes, cfg.Classes) || !reflect.DeepEqual(next.Tenants, cfg.Tenants),
-	} {
-		if differs {
-			s.log.Warn("a change that needs a restart is not taken over", zap.String("key", key))
-		}
+	was := s.cfg
+	merged, kept, err := was.Succeed(next)
+	if err == nil {
+		err = s.core.Retune(merged.Module)
 	}
-	if s.stopAt == 0 {
-		cfg.Stop = next.Stop
+	if err != nil {
+		s.turnDown(err)
+		return
 	}
-	cfg.UWSGI.ReadWithin = next.UWSGI.ReadWithin
-	if reflect.DeepEqual(next.Classes, cfg.Classes) {
-		cfg.Backends = next.Backends
-		if s.calls == 0 && uses(next.Backends) {
-			s.log.Warn("backends need descriptors set aside at the start; until a restart their classes fail")
-		}
+	for _, key := range kept {
+		s.log.Warn("a change that needs a restart is not taken over", zap.String("key", key))
 	}
-	if next.Engine != cfg.Engine {
-		cfg.Engine = next.Engine
+	if s.stopAt != 0 {
+		merged.Stop = was.Stop
+	}
+	s.cfg = merged
+	s.name()
+	s.recall()
+	if s.calls == 0 && uses(merged.Backends) {
+		s.log.Warn("backends need descriptors set aside at the start; until a restart their classes fail")
+	}
+	if merged.Engine != was.Engine {
 		s.reach() // the link in use is kept until the new one stands
 	}
-	if next.Registry != cfg.Registry {
-		cfg.Registry = next.Registry
+	if merged.Registry != was.Registry {
 		s.reregister()
 	}
 	s.applied++
-	s.log.Info("configuration reloaded", zap.String("engine", cfg.Engine), zap.String("registry", cfg.Registry))
+	s.log.Info("configuration reloaded", zap.String("engine", merged.Engine), zap.String("registry", merged.Registry),
+		zap.Int("classes", len(next.Classes)))
 	s.reportAt = 0
 	s.schedule()
 }
 
+// turnDown notes a configuration that is not used.
+func (s *Server) turnDown(err error) {
+	s.rejected++
+	s.log.Error("the new configuration is not used", zap.Error(err))
+}
+
+// name tells the fronts and the engine's link which classes and teams there are.
+func (s *Server) name() {
+	cfg := s.cfg
+	s.names = &frame.Names{Classes: map[string]int{}, Tenants: map[string]int{}}
+	s.keyed = map[string]int{}
+	safe := make([]bool, len(cfg.Classes))
+	for i, class := range cfg.Classes {
+		effect := cfg.Module.Classes[i].Effect
+		if !config.Off(cfg.ClassesOff, i) {
+			s.names.Classes[class] = i
+		}
+		if effect == kiteslip.Keyed {
+			s.keyed[class] = i
+		}
+		s.names.Keyed = append(s.names.Keyed, effect == kiteslip.Keyed)
+		safe[i] = effect == kiteslip.Repeatable
+	}
+	for i, tenant := range cfg.Tenants {
+		if !config.Off(cfg.TenantsOff, i) {
+			s.names.Tenants[tenant] = i
+		}
+	}
+	s.book = &uwsgi.Book{Classes: s.names.Classes, Tenants: s.names.Tenants, Contracts: cfg.UWSGI.Contracts}
+	s.link.Classes(cfg.Classes, safe)
+}
+
 // reregister sends the reports to the registry that holds now.
 func (s *Server) reregister() {
 	if s.beacon != nil {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -73,6 +73,7 @@
 	// Reload reads the configuration anew, for SIGHUP; nil = what was read at the start stays.
 	Reload func() (*config.Config, error)
 	names  *frame.Names
+	keyed  map[string]int // keyed classes, those included that are no longer in the file
 	client *gnet.Client
 	loop   gnet.EventLoop
 	up     chan struct{} // closed when the loop runs
@@ -133,7 +134,6 @@
 		cfg: cfg, log: log, up: make(chan struct{}), done: make(chan error, 1),
 		sessions: map[handler]struct{}{}, checks: map[string]check{},
 		backends: map[*backendConn]struct{}{},
-		names:    &frame.Names{Classes: map[string]int{}, Tenants: map[string]int{}},
 	}
 	room := cfg.Limits.Sockets - spareSockets
 	if cfg.Ops != "" {
@@ -145,18 +145,8 @@
 		s.calls = room / 4
 	}
 	s.slots = make(chan struct{}, room-s.calls)
-	safe := make([]bool, len(cfg.Classes))
-	for i, class := range cfg.Classes {
-		s.names.Classes[class] = i
-		effect := cfg.Module.Classes[i].Effect
-		s.names.Keyed = append(s.names.Keyed, effect == kiteslip.Keyed)
-		safe[i] = effect == kiteslip.Repeatable
-	}
-	for i, tenant := range cfg.Tenants {
-		s.names.Tenants[tenant] = i
-	}
-	s.book = &uwsgi.Book{Classes: s.names.Classes, Tenants: s.names.Tenants, Contracts: cfg.UWSGI.Contracts}
-	s.link = engine.NewLink(s, now, cfg.Classes, safe)
+	s.link = engine.NewLink(s, now)
+	s.name()
 	var err error
 	s.core, err = core.New(core.Settings{
 		Module: cfg.Module, Seed: cfg.Seed,
--- a/internal/server/upgrade.go
+++ b/internal/server/upgrade.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"runtime/debug"
+	"slices"
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
@@ -38,11 +39,12 @@
 	dialed   *net.UnixConn // to the old process, before the loop has it
 	web      net.Listener  // of the uwsgi front, as passed on; nil = none
 	began    int64
-	peer     *peerConn // in use; nil = there is none
-	waiting  *peerConn // has come to take our place and has to wait
-	reserved int       // places left to the other process
-	admitted bool      // clients are taken
-	handed   bool      // our place was handed over
+	peer     *peerConn          // in use; nil = there is none
+	waiting  *peerConn          // has come to take our place and has to wait
+	strays   []handover.Message // keys of classes that only the old process has
+	reserved int                // places left to the other process
+	admitted bool               // clients are taken
+	handed   bool               // our place was handed over
 	loadAt   int64
 }
 
@@ -119,11 +121,14 @@
 	class, known := -1, false
 	switch m.Kind {
 	case handover.Record, handover.Claim, handover.Ended:
-		if class, known = s.keyedClass(m.Text); !known {
-			if m.Kind == handover.Claim {
+		if class, known = s.keyed[m.Text]; !known { // a class that only the other one has
+			switch m.Kind {
+			case handover.Claim:
 				p.Had(m.ID, kiteslip.Failed, nil)
+			case handover.Record:
+				u.strays = append(u.strays, *m)
 			}
-			return nil // a class that only the other one has
+			return nil
 		}
 	}
 	if m.Outcome > uint8(kiteslip.Moot) {
@@ -134,8 +139,7 @@
 		if p.newer || s.core.Owner() {
 			return errOrder
 		}
-		s.core.Learn(core.Record{Class: class, Key: m.Key, Arrived: m.Arrived, Guard: m.Guard, Sum: m.Sum, Over: m.Over,
-			Outcome: kiteslip.Outcome(m.Outcome), Result: m.Result})
+		s.core.Learn(record(class, m))
 	case handover.Yours:
 		if p.newer || s.core.Owner() {
 			return errOrder
@@ -156,10 +160,26 @@
 	return nil
 }
 
-// keyedClass returns the place of the keyed class of that name.
-func (s *Server) keyedClass(name string) (int, bool) {
-	class, known := s.names.Classes[name]
-	return class, known && s.names.Keyed[class]
+// recall enters the keys of classes that only the old process had, once a new
+// configuration brings their class back; those whose time is up are forgotten.
+func (s *Server) recall() {
+	u, t := &s.handing, now()
+	u.strays = slices.DeleteFunc(u.strays, func(m handover.Message) bool {
+		class, known := s.keyed[m.Text]
+		if known && m.Guard >= t {
+			if u.peer == nil && !m.Over { // its end was told to nobody
+				m.Over, m.Outcome = true, uint8(kiteslip.Failed)
+			}
+			s.core.Learn(record(class, &m))
+		}
+		return known || m.Guard < t
+	})
+}
+
+// record is a key as the old process tells of it.
+func record(class int, m *handover.Message) core.Record {
+	return core.Record{Class: class, Key: m.Key, Arrived: m.Arrived, Guard: m.Guard, Sum: m.Sum, Over: m.Over,
+		Outcome: kiteslip.Outcome(m.Outcome), Result: m.Result}
 }
 
 // send queues a message for the end of the round.
@@ -354,7 +374,11 @@
 		if u.listener, err = u.place.Listen(); err != nil {
 			s.log.Error("upgrade", zap.Error(err)) // this one serves, but cannot be relieved
 		} else {
-			go s.welcome(u.listener)
+			var web *net.TCPListener // to be passed on, beside the one that the platform holds
+			if len(s.listeners) > 1 {
+				web, _ = s.listeners[1].Listener.(*net.TCPListener)
+			}
+			go s.welcome(u.listener, web)
 		}
 	}
 	s.serving = true
@@ -366,16 +390,12 @@
 }
 
 // welcome lets in processes that come to take our place.
-func (s *Server) welcome(l *net.UnixListener) {
+func (s *Server) welcome(l *net.UnixListener, web *net.TCPListener) {
 	for {
 		c, err := l.AcceptUnix()
 		if err != nil {
 			return
 		}
-		var web *net.TCPListener
-		if s.cfg.Listen != "" && s.cfg.UWSGI.Listen != "" {
-			web, _ = s.listeners[len(s.listeners)-1].Listener.(*net.TCPListener)
-		}
 		if err = handover.Pass(c, web); err != nil {
 			s.log.Warn("upgrade", zap.Error(err))
 			c.Close()
--- a/state.go
+++ b/state.go
@@ -52,6 +52,33 @@
 	w.set.JustStarted, w.born = cold, max(since, 0)
 }
 
+// Retune takes over new settings. Classes and tenants keep their places, new
+// ones follow; what was learned stays. On an error nothing has changed.
+func (w *Worker) Retune(s Settings) error {
+	if err := s.check(); err != nil {
+		return err
+	}
+	if len(s.Classes) < len(w.base) || len(s.Tenants) < len(w.set.Tenants) {
+		return errors.New("kiteslip: a class or tenant has lost its place")
+	}
+	s.fill()
+	s.JustStarted = w.set.JustStarted
+	w.set = s
+	for _, c := range s.Classes[len(w.base):] {
+		w.base = append(w.base, float64(c.Aim)/firstGuess)
+		w.baseN, w.wait = append(w.baseN, 0), append(w.wait, 0)
+		w.classes = append(w.classes, group{})
+	}
+	for len(w.tenants) < len(s.Tenants) {
+		w.tenants = append(w.tenants, group{})
+	}
+	w.limit = max(w.limit, s.Cores)
+	w.shared = s.Below == BelowShared && s.CallShare > 0 && s.CallsOver > 0
+	w.budget = shareSafe * s.CallShare * float64(s.CallsOver)
+	w.moveCalls(w.callLimit)
+	return nil
+}
+
 // find returns the request of that id, or nil.
 func (w *Worker) find(id RequestID) *request {
 	if i, ok := w.at[id]; ok {
