--- /dev/null
+++ b/internal/config/succeed_test.go
@@ -0,0 +1,152 @@
+package config
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"kiteslip"
+)
+
+// file words a platform file with these classes (name and effect) and teams.
+func file(classes [][2]string, tenants []string) string {
+	var c, q []string
+	for i, k := range classes {
+		c = append(c, fmt.Sprintf(`{"name": %q, "effect": %q, "on_time_us": %d, "hard_limit_us": 4000000, "window_us": 9000000}`, k[0], k[1], 1000+i))
+	}
+	for i, name := range tenants {
+		q = append(q, fmt.Sprintf(`{"name": %q, "quota_per_s": %d}`, name, i+1))
+	}
+	return fmt.Sprintf(`{"name": "n", "listen": "10.0.0.4:1", "engine": "10.1.0.1:1", "registry": "10.2.0.1:1", "stop_ms": 3200,
+		"limits": {"cores": 0.5, "memory_mb": 64, "sockets": 512}, "settings": {"classes": [%s], "tenants": [%s],
+		"family_info": {"cores": 2, "memory_kb": 1000, "gauges": ["runnable"]}}}`, strings.Join(c, ","), strings.Join(q, ","))
+}
+
+func parse(t interface{ Fatal(...any) }, text string) *Config {
+	c, err := Parse([]byte(text), unset)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// However files follow each other, a class and a team keep their places, what
+// the newest file says holds, and what it does not name is off.
+func TestPlacesStay(t *testing.T) {
+	names := rapid.SampledFrom([]string{"a", "b", "c", "d"})
+	effects := rapid.SampledFrom([]string{"repeatable", "by_key"})
+	rapid.Check(t, func(t *rapid.T) {
+		var c *Config
+		places, teams := map[string]int{}, map[string]int{}
+		for range rapid.IntRange(2, 6).Draw(t, "files") {
+			var classes [][2]string
+			for _, name := range rapid.SliceOfNDistinct(names, 1, 4, rapid.ID[string]).Draw(t, "classes") {
+				classes = append(classes, [2]string{name, effects.Draw(t, "effect")})
+			}
+			tenants := rapid.SliceOfNDistinct(names, 1, 4, rapid.ID[string]).Draw(t, "teams")
+			next := parse(t, file(classes, tenants))
+			if c == nil {
+				c = next
+			} else {
+				var err error
+				if c, _, err = c.Succeed(next); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if _, err := kiteslip.New(c.Module, 0); err != nil {
+				t.Fatal(err)
+			}
+			on := map[string]bool{}
+			for i, name := range c.Classes {
+				id := fmt.Sprint(name, c.Module.Classes[i].Effect)
+				if at, seen := places[id]; seen && at != i {
+					t.Fatalf("class %s moved from %d to %d", id, at, i)
+				}
+				if places[id] = i; !Off(c.ClassesOff, i) {
+					on[name] = true
+					if at := slices.Index(next.Classes, name); c.Module.Classes[i] != next.Module.Classes[at] {
+						t.Fatalf("class %s: %+v", id, c.Module.Classes[i])
+					}
+				}
+			}
+			if got := slices.Sorted(maps.Keys(on)); !slices.Equal(got, slices.Sorted(slices.Values(next.Classes))) {
+				t.Fatalf("classes %v of %v are on", got, next.Classes)
+			}
+			if n := len(c.Classes); n != len(places) || len(c.Backends) != n || len(c.UWSGI.Contracts) != n || len(c.MaxResults) != n || len(c.ClassesOff) > n {
+				t.Fatalf("%d classes in %+v", n, c)
+			}
+			for i, name := range c.Tenants {
+				if at, seen := teams[name]; seen && at != i {
+					t.Fatalf("team %s moved from %d to %d", name, at, i)
+				}
+				teams[name] = i
+				if at := slices.Index(next.Tenants, name); (at < 0) != Off(c.TenantsOff, i) || at >= 0 && c.Module.Tenants[i] != next.Module.Tenants[at] {
+					t.Fatalf("team %s: %+v", name, c.Module.Tenants[i])
+				}
+			}
+		}
+	})
+}
+
+// A file that lost a part is turned down, and the error names it.
+func TestLackingKeys(t *testing.T) {
+	was := file([][2]string{{"a", "by_key"}, {"b", "by_key"}}, []string{"red"})
+	c := parse(t, was)
+	for old, key := range map[string]string{
+		`"registry": "10.2.0.1:1", `:               "registry",
+		`"stop_ms": 3200,`:                         "stop_ms",
+		`"memory_mb": 64, `:                        "limits.memory_mb",
+		`"quota_per_s": 1`:                         "settings.tenants[0].quota_per_s",
+		`, "window_us": 9000000}]`:                 "settings.classes[1].window_us",
+		`, "gauges": ["runnable"]`:                 "settings.family_info.gauges",
+		`"limits": {"cores": 0.5, "memory_mb": 64`: "limits",
+	} {
+		text := strings.Replace(was, old, map[string]string{`, "window_us": 9000000}]`: "}]", `"quota_per_s": 1`: `"x": 1`,
+			`"limits": {"cores": 0.5, "memory_mb": 64`: `"other": {"cores": 0.5, "memory_mb": 64`}[old], 1)
+		if text == was {
+			t.Fatalf("%s is not in the file", old)
+		}
+		next, err := Parse([]byte(text), unset)
+		if err == nil {
+			_, _, err = c.Succeed(next)
+		}
+		if err == nil || !strings.Contains(err.Error(), key) {
+			t.Errorf("without %s: %v", key, err)
+		}
+	}
+	if _, _, err := c.Succeed(parse(t, was)); err != nil {
+		t.Errorf("the same file again: %v", err)
+	}
+	for n := range len(was) {
+		if _, err := Parse([]byte(was[:n]), unset); err == nil {
+			t.Fatalf("a file cut short after %d bytes is taken", n)
+		}
+	}
+	for _, deadline := range []string{"0", "-5", `"x"`, "null", "[]", "1e400"} {
+		if _, err := Parse([]byte(strings.Replace(was, "4000000", deadline, 1)), unset); err == nil {
+			t.Errorf("a deadline of %s is taken", deadline)
+		}
+	}
+}
+
+// Places have a bound.
+func TestPlacesAreBounded(t *testing.T) {
+	c := parse(t, file([][2]string{{"first", "repeatable"}}, []string{"red"}))
+	for i := 0; ; i++ {
+		next, _, err := c.Succeed(parse(t, file([][2]string{{fmt.Sprint("c", i), "repeatable"}}, []string{"red"})))
+		if err != nil {
+			if i != placesMost-1 || !strings.Contains(err.Error(), "restart") {
+				t.Errorf("file %d: %v", i, err)
+			}
+			return
+		}
+		if i > placesMost {
+			t.Fatal("no bound")
+		}
+		c = next
+	}
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -102,6 +102,7 @@
 	Module kiteslip.Settings
 	Seed   uint64
 	Log    func(line string) // takes the module's lines for the operators
+	Off    []bool            // classes that are no longer served
 }
 
 // keyMargin lengthens the window of a key here: a try that came within it and
@@ -210,11 +211,11 @@
 // Retune takes over new settings, in which classes and tenants have the places
 // that they had, and new ones follow. On an error nothing has changed. A key
 // whose request ran under a shorter window is kept for the longer one.
-func (c *Core) Retune(module kiteslip.Settings) error {
+func (c *Core) Retune(module kiteslip.Settings, off []bool) error {
 	if err := c.worker.Retune(module); err != nil {
 		return err
 	}
-	c.set.Module = module
+	c.set.Module, c.set.Off = module, off
 	for len(c.classes) < len(module.Classes) {
 		c.classes = append(c.classes, Answers{})
 	}
@@ -258,6 +259,10 @@
 	} else if class.Effect == kiteslip.Repeatable && r.Subject != 0 && c.set.Module.ReuseFor > 0 {
 		r.entry = fmt.Sprint(r.Class, ":", r.Subject)
 	}
+	if c.retired(r) {
+		c.turnAway(r, Answer{Code: Refused})
+		return nil
+	}
 	// Guards the window of a key: counted from a stamp ahead of the clock, it would end late or begin anew.
 	r.Arrived = min(r.Arrived, now)
 	c.nextID++
@@ -281,14 +286,29 @@
 
 // tooLate answers a request whose caller had given up when it was read.
 func (c *Core) tooLate(r *Request) {
+	if c.set.Module.Classes[r.Class].Effect == kiteslip.Repeatable {
+		c.turnAway(r, Answer{Code: Refused})
+	} else { // another try may have run
+		c.turnAway(r, Answer{Code: Failed, Cause: Overdue})
+	}
+}
+
+// turnAway answers a request that the module never hears of.
+func (c *Core) turnAway(r *Request, a Answer) {
 	c.counts.Read++
 	c.owed++
 	r.phase = dropped
-	if c.set.Module.Classes[r.Class].Effect == kiteslip.Repeatable {
-		c.answer(r, Answer{Code: Refused})
-	} else { // another try may have run
-		c.answer(r, Answer{Code: Failed, Cause: Overdue})
+	c.answer(r, a)
+}
+
+// retired says whether r is of a class that is no longer served, which callers
+// may learn late. A key that has run, or may have, is still answered as ever.
+func (c *Core) retired(r *Request) bool {
+	if r.Class >= len(c.set.Off) || !c.set.Off[r.Class] {
+		return false
 	}
+	e := c.table[r.entry]
+	return !c.keyed(r.Class) || c.owner && !c.inDoubt(r.Arrived) && (e == nil || e.ran == nil)
 }
 
 // foreign says whether the key of r stands for another request. Guards the
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -401,3 +401,35 @@
 		t.Error("a repeat with the same body is not taken")
 	}
 }
+
+// A window that grows holds for keys that have run under the shorter one.
+func TestRetuneKeepsKeys(t *testing.T) {
+	b := newBook(t)
+	first := b.arrive(1, "k", 0, 1_000_000)
+	b.pass(5_000)
+	b.finish(0, kiteslip.OK)
+	longer := site()
+	longer.Classes = append([]kiteslip.Class(nil), longer.Classes...)
+	longer.Classes[1].Window = 8_000_000
+	longer.Classes = append(longer.Classes, kiteslip.Class{Effect: kiteslip.Repeatable, Aim: 500_000, Limit: 1_500_000, Worth: 1})
+	if err := b.core.Retune(longer, nil); err != nil {
+		t.Fatal(err)
+	}
+	b.pass(5_000_000)
+	again, fresh := b.arrive(1, "k", 0, 1_000_000), b.arrive(2, "", 0, 1_000_000)
+	b.pass(5_000)
+	b.finish(0, kiteslip.OK)
+	for _, r := range []*Request{first, again, fresh} {
+		if got := b.answers[r]; len(got) != 1 || got[0].Code != Served {
+			t.Errorf("%s: %+v", r.Name, got)
+		}
+	}
+	if b.ran[again] {
+		t.Error("the key ran again within its longer window")
+	}
+	for what, s := range map[string]kiteslip.Settings{"fewer classes": site(), "no cores": {}} {
+		if b.core.Retune(s, nil) == nil {
+			t.Errorf("%s are taken", what)
+		}
+	}
+}
--- a/internal/server/reload.go
+++ b/internal/server/reload.go
@@ -35,7 +35,7 @@
 	was := s.cfg
 	merged, kept, err := was.Succeed(next)
 	if err == nil {
-		err = s.core.Retune(merged.Module)
+		err = s.core.Retune(merged.Module, merged.ClassesOff)
 	}
 	if err != nil {
 		s.turnDown(err)
@@ -80,7 +80,8 @@
 	safe := make([]bool, len(cfg.Classes))
 	for i, class := range cfg.Classes {
 		effect := cfg.Module.Classes[i].Effect
-		if !config.Off(cfg.ClassesOff, i) {
+		// One that is no longer in the file is still known by its name: it is refused, not an error.
+		if _, known := s.names.Classes[class]; !known || !config.Off(cfg.ClassesOff, i) {
 			s.names.Classes[class] = i
 		}
 		if effect == kiteslip.Keyed {
--- a/internal/server/reload_test.go
+++ b/internal/server/reload_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -79,3 +80,87 @@
 		t.Errorf("runs %v, then %v", before.Runs(), after.Runs())
 	}
 }
+
+// hup gives the server a file and waits until it has taken it or turned it down.
+func (r *running) hup(t *testing.T, text string) (applied bool) {
+	t.Helper()
+	was, no := 0, 0
+	r.look(func() { was, no = r.applied, r.rejected })
+	r.Reload = func() (*config.Config, error) { return config.Parse([]byte(text), func(string) string { return "" }) }
+	r.signals <- syscall.SIGHUP
+	r.eventually(t, "the file is read", func() bool { return r.applied+r.rejected > was+no })
+	r.look(func() { applied = r.applied > was })
+	return applied
+}
+
+// Classes come, go and return while requests are open: each request ends by the
+// promise it came under, a key runs once across the absence of its class, and
+// files that cannot be used whole change nothing and are counted.
+func TestRetune(t *testing.T) {
+	engine := standin.NewEngine(t, work)
+	r := start(t, engine.Address, "", "")
+	r.eventually(t, "the engine's link", r.link.Ready)
+	file := platformText(engine.Address, "")
+	c := standin.Dial(t, r.frames)
+	stream := uint32(0)
+	send := func(class, tenant, key, body string) {
+		stream++
+		c.Send(stream, standin.Fields(class, tenant, key, uint64(stream), 3*time.Second), body)
+	}
+	expect := func(what string, code byte) {
+		t.Helper()
+		if got, ok := c.Next(); !ok || got.Code != code {
+			t.Errorf("%s: %+v, want code %d", what, got, code)
+		}
+	}
+	send("note", "red", "key", "quick note")
+	expect("a keyed request", frame.Served)
+	send("find", "red", "", "slow open")
+	send("note", "red", "open", "slow key")
+	r.eventually(t, "runs", func() bool { return r.link.Running() == 2 })
+
+	next := strings.Replace(strings.Replace(file, `"find"`, `"fetch"`, 1), `"note"`, `"other"`, 1)
+	next = strings.Replace(next, `{"name": "blue", "quota_per_s": 500}`, `{"name": "green", "quota_per_s": 500}`, 1)
+	if !r.hup(t, next) {
+		t.Fatal("a good file is turned down")
+	}
+	expect("a request of a class that went", frame.Served)
+	expect("a keyed request of a class that went", frame.Served)
+	send("fetch", "green", "", "quick fetch")
+	expect("a new class and team", frame.Served)
+	send("other", "red", "key", "quick other")
+	expect("a new keyed class, with a key that another class has", frame.Served)
+	for range 2 * faultsMost { // callers learn late: no fault of theirs
+		send("find", "red", "", "quick late")
+		expect("a class that went", frame.Refused)
+	}
+	send("note", "red", "key", "quick note")
+	expect("a try of what has run, of a class that went", frame.Served)
+	send("look", "blue", "", "quick")
+	expect("a team that went", frame.Failed)
+
+	for what, text := range map[string]string{"empty": "", "cut short": file[:len(file)/2], "a key lacks": strings.Replace(file, `"seed": "1", `, "", 1),
+		"no deadline": strings.Replace(file, `"hard_limit_us": 4000000`, `"hard_limit_us": 0`, 1),
+		"no settings": strings.Replace(file, `"settings"`, `"else"`, 1)} {
+		if r.hup(t, text) {
+			t.Errorf("%s: the file is taken", what)
+		}
+	}
+	send("fetch", "green", "", "quick fetch")
+	expect("a class, after bad files", frame.Served)
+
+	if !r.hup(t, file) {
+		t.Fatal("the first file is turned down")
+	}
+	send("note", "red", "key", "quick note")
+	expect("a try of what has run, of a class that returned", frame.Served)
+	send("find", "blue", "", "quick again")
+	expect("a class and team that returned", frame.Served)
+	if n := engine.Runs()["quick note"]; n != 1 {
+		t.Errorf("a key ran %d times", n)
+	}
+	if got := r.ask(t, "show-stat"); !strings.Contains(got, "app.config_applied:2|c\napp.config_rejected:5|c\n") ||
+		!strings.Contains(got, "app.ok.fetch:2|c\n") || !strings.Contains(got, "app.shed.find:32|c\n") {
+		t.Errorf("figures\n%s", got)
+	}
+}
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -33,12 +33,17 @@
 	end         chan error
 }
 
+// platformText is the file that the platform would write.
+func platformText(engine, registry string) string {
+	return fmt.Sprintf(`{"name": "t", "listen": "127.0.0.1:0", "ops": "127.0.0.1:0", "engine": %q, "registry": %q,
+		"seed": "1", "stop_ms": 2000, "limits": {"cores": 1, "memory_mb": 64, "sockets": 288}, "settings": %s}`,
+		engine, registry, settings)
+}
+
 // platform is what the platform would configure.
 func platform(t testing.TB, engine, registry string) *config.Config {
 	t.Helper()
-	cfg, err := config.Parse(fmt.Appendf(nil, `{"name": "t", "listen": "127.0.0.1:0", "ops": "127.0.0.1:0", "engine": %q, "registry": %q,
-		"seed": "1", "stop_ms": 2000, "limits": {"cores": 1, "memory_mb": 64, "sockets": 288}, "settings": %s}`,
-		engine, registry, settings), func(string) string { return "" })
+	cfg, err := config.Parse([]byte(platformText(engine, registry)), func(string) string { return "" })
 	if err != nil {
 		t.Fatal(err)
 	}
