Bound what is handed over, and use a passed listener only for its own address

From reading the upgrade again: a first process with the inherited socket waited for its engine, a listener for another address would have been held open with nobody accepting, records and class names had no bound. Tests of the module's new events.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -105,6 +105,7 @@
 	leastSockets    = 32
 	leastFD         = 3 // after those for input, output and errors
 	mostFD          = 1 << 20
+	mostName        = 128 // bytes of a class's name, as it goes in messages and figures
 )
 
 // Load reads the platform's configuration through getenv.
@@ -227,8 +228,8 @@
 	}
 	seen := map[string]bool{}
 	for i, class := range n.Classes {
-		if class.Name == "" || seen[class.Name] {
-			return fmt.Errorf("settings.classes[%d].name is %q, want a name of its own", i, class.Name)
+		if class.Name == "" || seen[class.Name] || len(class.Name) > mostName {
+			return fmt.Errorf("settings.classes[%d].name is %q, want a name of its own of at most %d bytes", i, class.Name, mostName)
 		}
 		seen[class.Name] = true
 		c.Classes = append(c.Classes, class.Name)
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -259,8 +259,8 @@
 		for j := range s.Contracts {
 			t := &s.Contracts[j]
 			key := fmt.Sprintf("%s.contract[%d]", key, j)
-			if t.Class == "" || classes[t.Class] {
-				errs.add(key+".class", "is %q, want a name of its own", t.Class)
+			if t.Class == "" || classes[t.Class] || len(t.Class) > mostName {
+				errs.add(key+".class", "is %q, want a name of its own of at most %d bytes", t.Class, mostName)
 				continue
 			}
 			classes[t.Class] = true
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -226,20 +226,19 @@
 	}
 	for _, f := range []struct {
 		address string
-		passed  net.Listener // by the old process of an upgrade
 		session func() handler
 	}{
-		{s.cfg.Listen, nil, func() handler { return newSession(s) }},
-		{s.cfg.UWSGI.Listen, s.handing.web, func() handler { return newWebSession(s) }},
+		{s.cfg.Listen, func() handler { return newSession(s) }},
+		{s.cfg.UWSGI.Listen, func() handler { return newWebSession(s) }},
 	} {
 		if f.address == "" {
 			continue
 		}
-		l, err := f.passed, error(nil)
-		switch {
-		case s.cfg.InheritedFD != 0 && len(s.listeners) == 0:
+		var l net.Listener
+		var err error
+		if s.cfg.InheritedFD != 0 && len(s.listeners) == 0 {
 			l, err = s.inherit()
-		case l == nil:
+		} else if l = s.passed(f.address); l == nil {
 			l, err = net.Listen("tcp", f.address)
 		}
 		if err != nil {
@@ -248,6 +247,7 @@
 		}
 		s.listeners = append(s.listeners, front{l, f.session, s.slots})
 	}
+	s.passed("") // one that is left over has no use
 	if s.cfg.Ops != "" {
 		l, err := net.Listen("tcp", s.cfg.Ops)
 		if err != nil {
--- a/internal/server/upgrade.go
+++ b/internal/server/upgrade.go
@@ -29,6 +29,7 @@
 	leaveMost    = 3_000_000 // what the platform counts of the longest deadline before it kills
 	leaveRest    = 700_000   // ... and adds
 	peerOutMost  = 8 << 20   // a process that reads less than that has stalled
+	recordsMost  = 1 << 20   // keys that one process may hand over
 	memoryShared = 2         // processes share the memory and the places
 )
 
@@ -42,6 +43,7 @@
 	peer     *peerConn          // in use; nil = there is none
 	waiting  *peerConn          // has come to take our place and has to wait
 	strays   []handover.Message // keys of classes that only the old process has
+	records  int                // keys that were handed over to us
 	reserved int                // places left to the other process
 	admitted bool               // clients are taken
 	handed   bool               // our place was handed over
@@ -126,6 +128,9 @@
 			case handover.Claim:
 				p.Had(m.ID, kiteslip.Failed, nil)
 			case handover.Record:
+				if u.records++; u.records > recordsMost {
+					return errOrder
+				}
 				u.strays = append(u.strays, *m)
 			}
 			return nil
@@ -136,9 +141,10 @@
 	}
 	switch m.Kind {
 	case handover.Record:
-		if p.newer || s.core.Owner() {
+		if p.newer || s.core.Owner() || u.records >= recordsMost {
 			return errOrder
 		}
+		u.records++
 		s.core.Learn(record(class, m))
 	case handover.Yours:
 		if p.newer || s.core.Owner() {
@@ -262,8 +268,8 @@
 func (s *Server) begin() {
 	s.timer = time.AfterFunc(time.Hour, func() { s.onLoop(s.round) })
 	u := &s.handing
-	if u.place == nil {
-		s.admit()
+	if u.dialed == nil && s.core.Owner() {
+		s.admit() // there is no old process
 	}
 	if u.dialed != nil {
 		go s.enrol(u.dialed, &peerConn{s: s})
@@ -340,7 +346,7 @@
 		hangUp(u.peer.conn)
 	}
 	s.reserve()
-	if !u.admitted && (s.core.Owner() && s.link.Ready() || s.core.Owner() && t-u.began > engineWithin ||
+	if !u.admitted && s.stopAt == 0 && (s.core.Owner() && s.link.Ready() || s.core.Owner() && t-u.began > engineWithin ||
 		!s.core.Owner() && t-u.began > tableWithin) {
 		s.admit()
 	}
@@ -462,6 +468,23 @@
 	}
 }
 
+// passed returns the listener that the old process has passed on, if it is the
+// one for this address. Guards callers against one that nobody accepts on.
+func (s *Server) passed(address string) net.Listener {
+	l := s.handing.web
+	if l == nil {
+		return nil
+	}
+	s.handing.web = nil
+	want, err := net.ResolveTCPAddr("tcp", address)
+	got, ok := l.Addr().(*net.TCPAddr)
+	if err != nil || !ok || want.Port != got.Port || !want.IP.Equal(got.IP) && len(want.IP) > 0 && !want.IP.IsUnspecified() {
+		l.Close()
+		return nil
+	}
+	return l
+}
+
 // inherit returns the clients' listener that the platform holds.
 func (s *Server) inherit() (net.Listener, error) {
 	l, err := handover.Inherit(s.cfg.InheritedFD)
@@ -481,9 +504,6 @@
 	if u.listener != nil {
 		u.listener.Close()
 	}
-	if u.web != nil {
-		u.web.Close()
-	}
 	if u.place != nil {
 		u.place.Close()
 	}
--- a/policy_test.go
+++ b/policy_test.go
@@ -1122,3 +1122,63 @@
 		}
 	}
 }
+
+func TestHandoverIsNoDrain(t *testing.T) {
+	b := start(t, func(s *Settings) { s.Below, s.Classes[0].Calls, s.Classes[0].SkipWorth = BelowNone, false, 0 })
+	b.step(0)
+	acts := b.step(1000, Event{Kind: Handover, Deadline: 6_000_000})
+	for _, a := range acts {
+		if a.Kind == Health && !a.On {
+			t.Fatal("health is bad though another has the place")
+		}
+	}
+	late := arrival(1, 0)
+	b.want(b.step(3_500_000, late), Run, 1, true) // long past the grace of a drain
+	b.want(b.step(5_200_000, arrival(2, 0)), Refuse, 2, true)
+	b.step(5_200_000, Event{Kind: Drain, Deadline: 20_000_000})
+	b.want(b.step(8_000_000, arrival(3, 0)), Refuse, 3, true)
+}
+
+func TestRunsBesideCountAsOurs(t *testing.T) {
+	b := start(t, func(s *Settings) { s.Below, s.Classes[0].Calls, s.Classes[0].SkipWorth = BelowNone, false, 0 })
+	b.step(0)
+	b.want(b.step(1000, Event{Kind: Beside, Runs: 2, SizeKB: 100}, arrival(1, 0)), Run, 1, false)
+	b.want(b.step(2000, Event{Kind: Beside}), Run, 1, true)
+	b.step(3000, Event{Kind: Done, ID: 1, Outcome: OK, Elapsed: 1000})
+	b.step(4000, Event{Kind: Beside, SizeKB: 10_000})
+	b.want(b.step(5000, arrival(2, 0)), Refuse, 2, true) // the memory is full of what is beside
+	b.step(6000, Event{Kind: Beside, Runs: 2})
+	for now := int64(10_000); now < 60_000_000; now += 10_000 {
+		for _, a := range b.step(now) {
+			if a.Kind == Health && !a.On {
+				t.Fatal("what another runs is taken for a stall here")
+			}
+		}
+	}
+}
+
+func TestRetune(t *testing.T) {
+	b := start(t, nil)
+	b.step(0)
+	open := b.step(1000, arrival(1, 1))
+	b.want(open, Run, 1, true)
+	next := settings()
+	next.Classes = append(next.Classes, Class{Effect: Repeatable, Aim: 1_000_000, Limit: 2_000_000, Worth: 1})
+	next.Tenants = []Tenant{{Quota: 5}, {Quota: 7}}
+	if err := b.w.Retune(next); err != nil {
+		t.Fatal(err)
+	}
+	late := arrival(2, 3)
+	late.Tenant = 1
+	b.want(b.step(2000, late), Run, 2, true)
+	b.step(3000, Event{Kind: Done, ID: 1, Outcome: OK, Elapsed: 2000}, Event{Kind: Done, ID: 2, Outcome: OK, Elapsed: 1000})
+	if b.w.baseN[1] != 1 || b.w.baseN[3] != 1 || b.w.inHand != 0 {
+		t.Errorf("what was open is lost: %v, %d in hand", b.w.baseN, b.w.inHand)
+	}
+	before := b.w.set.Classes
+	for what, s := range map[string]Settings{"fewer classes": settings(), "no classes": {Cores: 1, MemoryKB: 1}} {
+		if err := b.w.Retune(s); err == nil || !reflect.DeepEqual(b.w.set.Classes, before) {
+			t.Errorf("%s: %v", what, err)
+		}
+	}
+}
