Close a connection only for unreadable requests in a row

A caller used a new class 0.9 s before the file came; 16 such requests closed its connection and with it good ones (session.go, faultsMost). Ruled out: the upgrade, in which no request was lost (logs: the old process had ended 1.7 s before).

--- a/internal/server/seats_test.go
+++ b/internal/server/seats_test.go
@@ -117,6 +117,25 @@
 	}
 }
 
+// Requests that cannot be read, with good ones between, each get an error and
+// cost the good ones nothing: a caller may know of a class that we do not.
+func TestFaultsAmongGoodRequests(t *testing.T) {
+	engine := standin.NewEngine(t, standin.Echo(time.Millisecond))
+	r := start(t, engine.Address, "", "")
+	r.eventually(t, "the engine's link", r.link.Ready)
+	c := standin.Dial(t, r.frames)
+	for i := range 3 * faultsMost {
+		class, want := "look", byte(frame.Served)
+		if i%3 > 0 {
+			class, want = "unknown", frame.Failed
+		}
+		c.Send(uint32(i+1), standin.Fields(class, "red", "", uint64(i+1), 3*time.Second), "b")
+		if got, ok := c.Next(); !ok || got.Code != want {
+			t.Fatalf("request %d of class %s: %+v", i, class, got)
+		}
+	}
+}
+
 // The key of one request with the body of another gets no result, on either front.
 func TestKeyOfAnotherRequest(t *testing.T) {
 	engine := standin.NewEngine(t, standin.Echo(time.Millisecond))
--- a/internal/server/session.go
+++ b/internal/server/session.go
@@ -33,7 +33,9 @@
 	openedAt int64
 }
 
-// faultsMost is how many requests that cannot be read one connection may bring.
+// faultsMost is how many requests that cannot be read one connection may bring
+// in a row. Guards the requests of a caller that learns of a class before this
+// server does: with good ones between, such a connection is of use.
 const faultsMost = 16
 
 func newSession(s *Server) *session {
@@ -106,7 +108,7 @@
 var (
 	errStream = errors.New("stream 0 carries no request")
 	errOpen   = fmt.Errorf("more than %d requests are open", frame.MaxStreams)
-	errFaults = errors.New("too many requests that cannot be read")
+	errFaults = errors.New("too many requests in a row that cannot be read")
 )
 
 // take takes in one frame; an error ends the connection.
@@ -153,7 +155,9 @@
 		if f.faults++; f.faults >= faultsMost {
 			return errFaults
 		}
+		return nil
 	}
+	f.faults = 0
 	return nil
 }
 
