--- a/internal/server/upgrade.go
+++ b/internal/server/upgrade.go
@@ -30,6 +30,7 @@
 	leaveRest    = 700_000   // ... and adds
 	peerOutMost  = 8 << 20   // a process that reads less than that has stalled
 	recordsMost  = 1 << 20   // keys that one process may hand over
+	tableAtOnce  = 1 << 20   // bytes of the table that are under way at once
 	memoryShared = 2         // processes share the memory and the places
 )
 
@@ -58,6 +59,10 @@
 	out     []byte
 	gone    bool
 	heardAt int64
+	handing bool               // the table is under way
+	table   []core.Record      // keys that are still to be handed over, and then YOURS
+	doubt   int64              // ... which says this
+	later   []handover.Message // what is said after that
 }
 
 func (p *peerConn) opened(c gnet.Conn) {
@@ -188,8 +193,16 @@
 		Outcome: kiteslip.Outcome(m.Outcome), Result: m.Result}
 }
 
-// send queues a message for the end of the round.
+// send queues a message for the end of the round, behind a table that is under way.
 func (p *peerConn) send(m *handover.Message) {
+	if p.handing {
+		p.later = append(p.later, *m)
+		return
+	}
+	p.put(m)
+}
+
+func (p *peerConn) put(m *handover.Message) {
 	if len(p.out) == 0 {
 		p.s.dirty = append(p.s.dirty, p)
 	}
@@ -319,14 +332,31 @@
 	if err := u.place.Disown(); err != nil {
 		s.log.Error("upgrade", zap.Error(err))
 	}
-	n := 0
-	for r := range s.core.Records {
-		n++
-		p.send(&handover.Message{Kind: handover.Record, Text: s.cfg.Classes[r.Class], Key: r.Key, Arrived: r.Arrived, Guard: r.Guard,
+	p.table, p.doubt, p.handing = slices.Collect(s.core.Records), doubt, true
+	s.log.Info("the keys are handed over", zap.Int("keys", len(p.table)))
+	p.pump()
+}
+
+// pump sends as much of the table as the other process keeps up with, so that
+// a large one takes no memory of its own.
+func (p *peerConn) pump() {
+	if !p.handing {
+		return
+	}
+	for len(p.table) > 0 && len(p.out)+p.conn.OutboundBuffered() < tableAtOnce {
+		r := &p.table[0]
+		p.put(&handover.Message{Kind: handover.Record, Text: p.s.cfg.Classes[r.Class], Key: r.Key, Arrived: r.Arrived, Guard: r.Guard,
 			Sum: r.Sum, Over: r.Over, Outcome: uint8(r.Outcome), Result: r.Result})
+		p.table = p.table[1:]
+	}
+	if len(p.table) == 0 {
+		p.handing, p.table = false, nil
+		p.put(&handover.Message{Kind: handover.Yours, Guard: p.doubt})
+		for i := range p.later {
+			p.put(&p.later[i])
+		}
+		p.later = nil
 	}
-	p.send(&handover.Message{Kind: handover.Yours, Guard: doubt})
-	s.log.Info("the keys are handed over", zap.Int("keys", n))
 }
 
 // tend keeps an upgrade going; it is called once a round.
@@ -336,6 +366,9 @@
 		return
 	}
 	s.give()
+	if u.peer != nil {
+		u.peer.pump()
+	}
 	if u.peer != nil && t >= u.loadAt {
 		u.loadAt = t + loadEvery
 		runs, kb := s.core.OnEngine()
