Keep two bodies of one key apart across processes, and bound links between them

From reading core.go again: a run let start for the other process while a try with another body was held here would have served that try with a result not made for it (copyOf), which one process alone forbids on arrival (foreign). Also: a longer window here holds for keys handed over; connections at the meeting place are bounded and end. Tests of the door under load and of a registry that is down and back.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -640,9 +640,15 @@
 	}
 }
 
-// copyOf lets r take the result of head, now or once that has ended.
+// copyOf lets r take the result of head, now or once that has ended. Guards
+// the meaning of 'served': head may be a run of the other process of an upgrade
+// that was let start after r had come, with another body.
 func (c *Core) copyOf(r, head *Request) {
 	r.phase = copying
+	if c.keyed(r.Class) && r.sum != head.sum {
+		c.serveCopy(r, &Request{outcome: kiteslip.Failed})
+		return
+	}
 	switch head.phase {
 	case ended, dropped:
 		c.serveCopy(r, head)
--- a/internal/core/keys.go
+++ b/internal/core/keys.go
@@ -78,8 +78,10 @@
 
 func (c *Core) keyed(class int) bool { return c.set.Module.Classes[class].Effect == kiteslip.Keyed }
 
-// Learn enters a key that the other process has started. What is known here already stands.
+// Learn enters a key that the other process has started. What is known here
+// already stands, and so does the window of the settings here if it is longer.
 func (c *Core) Learn(rec Record) {
+	rec.Guard = max(rec.Guard, rec.Arrived+c.set.Module.Classes[rec.Class].Window+keyMargin)
 	if e := c.table[keyName(rec.Class, rec.Key)]; e != nil && e.ran != nil && e.guard >= rec.Guard {
 		return
 	}
@@ -124,7 +126,7 @@
 		default:
 			c.peer.Had(id, r.outcome, r.result)
 		}
-	case c.inDoubt(arrived):
+	case c.inDoubt(arrived) || e != nil && e.kept != nil && e.kept.phase == held && !e.kept.answered && e.kept.sum != sum:
 		c.peer.Had(id, kiteslip.Failed, nil)
 	default:
 		c.foreignRun(class, key, arrived, arrived+c.set.Module.Classes[class].Window+keyMargin, sum)
--- a/internal/core/keys_test.go
+++ b/internal/core/keys_test.go
@@ -244,3 +244,49 @@
 		}
 	}
 }
+
+// A key that comes with two bodies to two processes serves neither with the
+// result of the other.
+func TestBodiesOfOneKeyAcrossProcesses(t *testing.T) {
+	p := newPair(t)
+	old, young := p.books[0], p.books[1]
+	p.hand()
+	p.deliver(0)
+	send := func(b *book, body string) *Request {
+		r := &Request{Name: body, Class: 1, Key: "k", Arrived: b.now, Due: b.now + 1_000_000, SizeKB: 20, Body: []byte(body)}
+		r.From = caller{b, r}
+		if err := b.core.Arrive(b.now, r); err != nil {
+			t.Fatal(err)
+		}
+		b.sent = append(b.sent, r)
+		return r
+	}
+	for range 2 { // the cores of the new process are in use
+		young.arrive(0, "", 0, 1_000_000)
+	}
+	young.pass(5_000)
+	mine, theirs := send(young, "mine"), send(old, "theirs")
+	young.core.Step(young.now)
+	old.pass(5_000)
+	p.deliver(0) // the claim comes while the other is held
+	p.deliver(1)
+	for len(young.running) > 0 {
+		r := young.running[0]
+		young.running = young.running[1:]
+		young.core.Done(r, kiteslip.OK, 1000, []byte("of "+map[bool]string{true: r.Key, false: r.Name}[r.Key != ""]))
+		young.pass(5_000)
+	}
+	old.pass(5_000)
+	if got := old.answers[theirs]; len(got) != 1 || got[0].Code != Failed || old.ran[theirs] {
+		t.Errorf("the other body: %+v", got)
+	}
+	if !young.ran[mine] {
+		t.Error("the body that was held first did not run")
+	}
+	head, r := &Request{sum: 1, phase: ended, outcome: kiteslip.OK, result: []byte("of another")}, send(young, "mine")
+	r.sum = 2
+	young.core.copyOf(r, head)
+	if got := young.answers[r]; len(got) != 1 || got[0].Code != Failed {
+		t.Errorf("a run let start meanwhile with another body: %+v", got)
+	}
+}
--- a/internal/server/door_test.go
+++ b/internal/server/door_test.go
@@ -155,3 +155,43 @@
 		t.Errorf("a line without an end: %q", got)
 	}
 }
+
+// Under a load that the engine cannot bear the door answers within its time.
+func TestDoorUnderLoad(t *testing.T) {
+	engine := standin.NewEngine(t, standin.Echo(50*time.Millisecond))
+	r := start(t, engine.Address, "", "")
+	r.eventually(t, "the engine's link", r.link.Ready)
+	end := time.Now().Add(1500 * time.Millisecond)
+	for i := range 16 {
+		c := standin.Dial(t, r.frames)
+		go func() {
+			for n := uint32(1); time.Now().Before(end); n++ {
+				c.Send(n, standin.Fields("look", "red", "", uint64(i)<<32|uint64(n), time.Second), "b")
+				if n%frame.MaxStreams == 0 {
+					for range frame.MaxStreams {
+						if _, ok := <-c.Replies; !ok {
+							return
+						}
+					}
+				}
+			}
+		}()
+	}
+	asked := 0
+	for ; time.Now().Before(end); asked++ {
+		if got := r.ask(t, "show-stat"); !strings.HasSuffix(got, "\nend\n") {
+			t.Fatalf("figures under load: %q", got)
+		}
+		if got := r.ask(t, "ready"); got != "done ready\n" {
+			t.Fatalf("ready under load: %q", got)
+		}
+	}
+	r.look(func() {
+		if n := r.core.Counts(); n.Read < 500 || n.Refused == 0 {
+			t.Errorf("that was no load: %+v", n)
+		}
+	})
+	if asked == 0 {
+		t.Error("no call was made")
+	}
+}
--- a/internal/server/seats.go
+++ b/internal/server/seats.go
@@ -47,8 +47,8 @@
 	unsent := 0
 	for h := range s.sessions {
 		unsent += h.unsent()
-		if d, ok := h.(*door); ok {
-			d.expire(t)
+		if e, ok := h.(interface{ expire(int64) }); ok {
+			e.expire(t)
 			continue
 		}
 		f, ok := h.(*session)
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"kiteslip/internal/config"
+	"kiteslip/internal/frame"
 	"kiteslip/internal/standin"
 )
 
@@ -156,3 +157,26 @@
 		t.Errorf("want GOAWAY at the drain, got %+v", got)
 	}
 }
+
+// A registry that is down costs its reports and nothing else, and hears again
+// of the server, by its state of then, when it is back.
+func TestRegistryDownAndBack(t *testing.T) {
+	engine := standin.NewEngine(t, standin.Echo(time.Millisecond))
+	registry, reports, down := standin.NewRegistryAt(t, "127.0.0.1:0")
+	r := start(t, engine.Address, registry, "")
+	<-reports
+	down()
+	c := standin.Dial(t, r.frames)
+	for i := range uint64(20) { // over more than three reports
+		c.Send(uint32(i+1), standin.Fields("look", "red", "", i+1, time.Second), "b")
+		if got, _ := c.Next(); got.Code != frame.Served {
+			t.Errorf("while the registry is down: %+v", got)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	r.ask(t, "drain")
+	_, reports, _ = standin.NewRegistryAt(t, registry)
+	if got := <-reports; got != "BEAT t draining" {
+		t.Errorf("report %q when it is back", got)
+	}
+}
--- a/internal/server/upgrade.go
+++ b/internal/server/upgrade.go
@@ -30,6 +30,7 @@
 	leaveRest    = 700_000   // ... and adds
 	peerOutMost  = 8 << 20   // a process that reads less than that has stalled
 	recordsMost  = 1 << 20   // keys that one process may hand over
+	linksMost    = 4         // connections at the meeting place
 	tableAtOnce  = 1 << 20   // bytes of the table that are under way at once
 	memoryShared = 2         // processes share the memory and the places
 )
@@ -44,6 +45,7 @@
 	peer     *peerConn          // in use; nil = there is none
 	waiting  *peerConn          // has come to take our place and has to wait
 	strays   []handover.Message // keys of classes that only the old process has
+	links    int                // connections at the meeting place
 	records  int                // keys that were handed over to us
 	reserved int                // places left to the other process
 	admitted bool               // clients are taken
@@ -67,6 +69,13 @@
 
 func (p *peerConn) opened(c gnet.Conn) {
 	p.conn, p.heardAt = c, now()
+	if p.s.handing.links++; p.s.handing.links > linksMost {
+		p.s.onLoop(func() {
+			if !p.gone {
+				hangUp(c)
+			}
+		})
+	}
 	if !p.newer {
 		p.s.handing.peer = p
 		p.send(&handover.Message{Kind: handover.Hello, Text: p.s.cfg.Name})
@@ -77,6 +86,7 @@
 func (p *peerConn) closed() {
 	p.gone = true
 	u := &p.s.handing
+	u.links--
 	if u.waiting == p {
 		u.waiting = nil
 	}
@@ -213,6 +223,13 @@
 	p.s.schedule()
 }
 
+// expire ends a link that serves nothing; the one in use is watched by tend.
+func (p *peerConn) expire(t int64) {
+	if p.s.handing.peer != p && t-p.heardAt > silentPeer {
+		hangUp(p.conn)
+	}
+}
+
 // flush writes what waits. Guards the memory against a process that reads nothing.
 func (p *peerConn) flush() {
 	if p.gone || len(p.out) == 0 {
--- a/internal/standin/callers.go
+++ b/internal/standin/callers.go
@@ -254,7 +254,14 @@
 // NewRegistry returns the address of a registry and the reports that reach it.
 func NewRegistry(t testing.TB) (string, <-chan string) {
 	t.Helper()
-	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+	address, reports, _ := NewRegistryAt(t, "127.0.0.1:0")
+	return address, reports
+}
+
+// NewRegistryAt is NewRegistry at an address, with what takes it down.
+func NewRegistryAt(t testing.TB, at string) (address string, got <-chan string, down func()) {
+	t.Helper()
+	conn, err := net.ListenPacket("udp", at)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -273,5 +280,5 @@
 			}
 		}
 	}()
-	return conn.LocalAddr().String(), reports
+	return conn.LocalAddr().String(), reports, func() { conn.Close() }
 }
