--- a/cmd/kiteslip/main.go
+++ b/cmd/kiteslip/main.go
@@ -107,8 +107,8 @@
 		}
 		return address
 	}
-	fmt.Fprintf(w, "%s: frames on %s, uwsgi on %s, engine %s, registry %s\n", cfg.Name, or(cfg.Listen, "(off)"),
-		or(cfg.UWSGI.Listen, "(off)"), or(cfg.Engine, "(none)"), or(cfg.Registry, "(none)"))
+	fmt.Fprintf(w, "%s: frames on %s, uwsgi on %s, ops on %s, engine %s, registry %s\n", cfg.Name, or(cfg.Listen, "(off)"),
+		or(cfg.UWSGI.Listen, "(off)"), or(cfg.Ops, "(off)"), or(cfg.Engine, "(none)"), or(cfg.Registry, "(none)"))
 	fmt.Fprintf(w, "limits: %g cores, %d MB, %d sockets; %d ms from SIGTERM to the kill\n",
 		cfg.Limits.Cores, cfg.Limits.MemoryMB, cfg.Limits.Sockets, cfg.Stop/1000)
 	for i, name := range cfg.Tenants {
--- a/cmd/kiteslip/upgrade_test.go
+++ b/cmd/kiteslip/upgrade_test.go
@@ -131,7 +131,7 @@
 
 	second.Process.Kill() //nolint:errcheck // Wait tells
 	second.Wait()         //nolint:errcheck // it was killed
-	if left, _ := filepath.Glob(filepath.Join(dir, "kiteslip.*")); len(left) == 0 {
+	if left, _ := filepath.Glob(filepath.Join(dir, "kiteslip-*")); len(left) == 0 {
 		t.Error("nothing is left behind; the test shows nothing")
 	}
 	third := launch(t, clients, dir)
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -86,7 +86,7 @@
 
 func place(t *testing.T, dir string) *Place {
 	t.Helper()
-	p, err := NewPlace(dir)
+	p, err := NewPlace(dir, "n3")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -115,6 +115,23 @@
 	}
 }
 
+// Servers that share a folder do not meet, and a name stays inside the folder.
+func TestServersDoNotMeet(t *testing.T) {
+	dir := t.TempDir()
+	a := place(t, dir)
+	b, err := NewPlace(dir, "../n4/"+strings.Repeat("x", 99))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer b.Close()
+	if !a.Own() || !b.Own() {
+		t.Error("two servers have one lock")
+	}
+	if files, _ := filepath.Glob(filepath.Join(dir, "kiteslip-*.keys")); len(files) != 2 {
+		t.Errorf("files %v", files)
+	}
+}
+
 // The latest to listen is the one that is reached, whatever was left behind.
 func TestDialReachesTheLatest(t *testing.T) {
 	dir := t.TempDir()
@@ -130,10 +147,10 @@
 	if p.Dial() != nil {
 		t.Fatal("a dead process answers")
 	}
-	if err := os.Remove(filepath.Join(dir, socketName)); err != nil {
+	if err := os.Remove(p.socket()); err != nil {
 		t.Fatal(err)
 	}
-	if err := os.WriteFile(filepath.Join(dir, socketName), []byte("no socket"), 0o600); err != nil {
+	if err := os.WriteFile(p.socket(), []byte("no socket"), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	if l, err = p.Listen(); err != nil {
@@ -189,7 +206,7 @@
 }
 
 func TestLongPath(t *testing.T) {
-	if _, err := NewPlace(filepath.Join(t.TempDir(), strings.Repeat("d", 90))); err == nil {
+	if _, err := NewPlace(filepath.Join(t.TempDir(), strings.Repeat("d", 90)), "n3"); err == nil {
 		t.Error("a path that no socket can have is taken")
 	}
 }
--- a/internal/handover/place.go
+++ b/internal/handover/place.go
@@ -6,31 +6,37 @@
 	"net"
 	"os"
 	"path/filepath"
+	"strings"
 	"time"
 
 	"golang.org/x/sys/unix"
 )
 
 const (
-	socketName = "kiteslip.sock"
-	lockName   = "kiteslip.keys"
-	maxPath    = 100 // the system takes 107 bytes of a Unix socket's path
+	maxPath = 100 // the system takes 107 bytes of a Unix socket's path
+	maxName = 32  // bytes of a server's name that go into the names of files
 )
 
 // Place is where the processes of one server meet: a folder that they share.
 type Place struct {
-	dir  string
+	base string // of the names of the files there
 	lock *os.File
 	last time.Time // when an earlier owner was last alive; zero = there was none
 }
 
-// NewPlace returns the meeting place in dir.
-func NewPlace(dir string) (*Place, error) {
-	p := &Place{dir: dir}
+// NewPlace returns the meeting place in dir of the server named.
+func NewPlace(dir, server string) (*Place, error) {
+	plain := strings.Map(func(r rune) rune {
+		if r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9' || r == '-' {
+			return r
+		}
+		return '_'
+	}, server[:min(len(server), maxName)])
+	p := &Place{base: filepath.Join(dir, "kiteslip-"+plain)}
 	if n := len(p.socket()) + len(".12345678"); n > maxPath {
 		return nil, fmt.Errorf("handover: the path of %s is too long for a socket", dir)
 	}
-	path := filepath.Join(dir, lockName)
+	path := p.base + ".keys"
 	if info, err := os.Stat(path); err == nil {
 		p.last = info.ModTime()
 	}
@@ -41,7 +47,7 @@
 	return p, nil
 }
 
-func (p *Place) socket() string { return filepath.Join(p.dir, socketName) }
+func (p *Place) socket() string { return p.base + ".sock" }
 
 // Last is when an earlier owner was last alive, as found at the start; zero = there was none.
 func (p *Place) Last() time.Time { return p.last }
--- a/internal/server/door_test.go
+++ b/internal/server/door_test.go
@@ -41,7 +41,8 @@
 	withdrawn, asked := false, uint64(0)
 	c := standin.Dial(t, r.frames)
 	expect := func(t *rapid.T, call, want string) {
-		if got := standin.Ask(r.test, r.door.Addr().String(), call); got != want {
+		cut := rapid.IntRange(0, len(call)).Draw(t, "cut")
+		if got := standin.Ask(r.test, r.door.Addr().String(), call[:cut], call[cut:]); got != want {
 			t.Fatalf("%s while withdrawn is %v: %q, want %q", call, withdrawn, got, want)
 		}
 	}
--- a/internal/server/upgrade.go
+++ b/internal/server/upgrade.go
@@ -275,7 +275,7 @@
 		return nil
 	}
 	var err error
-	if u.place, err = handover.NewPlace(os.TempDir()); err != nil {
+	if u.place, err = handover.NewPlace(os.TempDir(), s.cfg.Name); err != nil {
 		return err
 	}
 	s.core.Disown(nil)
@@ -335,12 +335,12 @@
 	s.schedule()
 }
 
-// give hands the keys to the process that has come to take our place. It waits
-// while this one is itself still being handed a place, or is leaving.
+// give hands the keys to the process that has come to take our place, also in a
+// drain. It waits while this one is itself still being handed a place.
 func (s *Server) give() {
 	u := &s.handing
 	p := u.waiting
-	if p == nil || u.peer != nil || !s.core.Owner() || s.stopAt != 0 {
+	if p == nil || u.peer != nil || !s.core.Owner() {
 		return
 	}
 	u.waiting, u.peer, u.handed = nil, p, true
--- a/internal/server/upgrade_test.go
+++ b/internal/server/upgrade_test.go
@@ -218,6 +218,35 @@
 	}
 }
 
+// A process that starts while another drains gets its keys all the same.
+func TestStartDuringDrain(t *testing.T) {
+	at := site(t)
+	engine := standin.NewEngine(t, work)
+	old := launch(t, at.process(t, engine.Address, ""))
+	old.ready(t)
+	c := old.open(t)
+	c.Send(1, standin.Fields("note", "red", "key", 1, 3*time.Second), "once")
+	c.Next()
+	old.signals <- syscall.SIGTERM
+	old.eventually(t, "the notice", func() bool { return old.stopAt != 0 })
+	next := standin.NewEngine(t, work)
+	young := launch(t, at.process(t, next.Address, ""))
+	young.ready(t)
+	if err := <-old.end; err != nil {
+		t.Errorf("the drain ends with %v", err)
+	}
+	old.signals = nil
+	d := young.open(t)
+	d.Send(1, standin.Fields("note", "red", "key", 2, 3*time.Second), "once")
+	if got, _ := d.Next(); got.Code != frame.Served || next.Runs()["once"] != 0 {
+		t.Errorf("the key of the one that drained: %+v, runs %v", got, next.Runs())
+	}
+	d.Send(2, standin.Fields("note", "red", "fresh", 3, 3*time.Second), "fresh")
+	if got, _ := d.Next(); got.Code != frame.Served {
+		t.Errorf("a fresh key: %+v", got)
+	}
+}
+
 // A new process that dies before it is told to be alone leaves the server to
 // the old one: what it may have started is in doubt and fails, all else is served.
 func TestNewProcessDies(t *testing.T) {
--- a/internal/standin/callers.go
+++ b/internal/standin/callers.go
@@ -234,8 +234,9 @@
 	return r
 }
 
-// Ask makes one call at the operators' door and returns the whole answer.
-func Ask(t testing.TB, address, call string) string {
+// Ask makes one call at the operators' door, in pieces if there are several,
+// and returns the whole answer.
+func Ask(t testing.TB, address string, call ...string) string {
 	t.Helper()
 	conn, err := net.Dial("tcp", address)
 	if err != nil {
@@ -243,7 +244,11 @@
 	}
 	defer conn.Close()
 	conn.SetDeadline(time.Now().Add(time.Second)) //nolint:errcheck // a TCP connection takes it
-	fmt.Fprintf(conn, "%s\n", call)
+	for _, piece := range call[:len(call)-1] {
+		io.WriteString(conn, piece) //nolint:errcheck // a missing answer shows
+		time.Sleep(time.Millisecond)
+	}
+	fmt.Fprintf(conn, "%s\n", call[len(call)-1])
 	answer, err := io.ReadAll(conn)
 	if err != nil {
 		t.Errorf("%s: no answer within a second: %v", call, err)
