Look again for an owner that did not answer, and be found after a failed upgrade

From reading upgrade.go again: an old process that was stuck at the greeting, or not yet listening, was never asked again, so that keyed requests failed until its end; after a new process had died its socket kept the name, so that the next one could not find the old. Tests for both. A lone team is found whatever its place (uwsgi/request.go).

--- a/internal/server/upgrade.go
+++ b/internal/server/upgrade.go
@@ -48,6 +48,7 @@
 	links    int                // connections at the meeting place
 	records  int                // keys that were handed over to us
 	reserved int                // places left to the other process
+	dialing  bool               // the owner of the keys is sought
 	admitted bool               // clients are taken
 	handed   bool               // our place was handed over
 	loadAt   int64
@@ -69,12 +70,13 @@
 
 func (p *peerConn) opened(c gnet.Conn) {
 	p.conn, p.heardAt = c, now()
-	if p.s.handing.links++; p.s.handing.links > linksMost {
+	if p.s.handing.links++; p.s.handing.links > linksMost || !p.newer && p.s.handing.peer != nil {
 		p.s.onLoop(func() {
 			if !p.gone {
 				hangUp(c)
 			}
 		})
+		return
 	}
 	if !p.newer {
 		p.s.handing.peer = p
@@ -302,7 +304,11 @@
 		s.admit() // there is no old process
 	}
 	if u.dialed != nil {
-		go s.enrol(u.dialed, &peerConn{s: s})
+		u.dialing = true
+		go func() {
+			s.enrol(u.dialed, &peerConn{s: s})
+			s.onLoop(func() { u.dialing = false })
+		}()
 	}
 	s.round()
 }
@@ -331,6 +337,7 @@
 		if p := s.handing.peer; p != nil {
 			s.core.Meet(p)
 		}
+		s.await()
 	}
 	s.schedule()
 }
@@ -417,26 +424,34 @@
 		if u.place.Own() {
 			u.handed = false
 			s.own(t + s.core.Window())
+		} else if !u.handed && !u.dialing {
+			u.dialing = true // the owner may hear us by now
+			go s.redial()
 		}
 	}
 }
 
-// admit begins to take clients, and to wait for the process that comes next.
-func (s *Server) admit() {
-	u := &s.handing
-	u.admitted = true
-	if u.place != nil {
-		var err error
-		if u.listener, err = u.place.Listen(); err != nil {
-			s.log.Error("upgrade", zap.Error(err)) // this one serves, but cannot be relieved
+// redial tries again to reach the process that owns the keys.
+func (s *Server) redial() {
+	if c := s.handing.place.Dial(); c != nil {
+		web, err := handover.Take(c, time.Now().Add(greetWithin*time.Microsecond))
+		if web != nil {
+			web.Close() // it comes too late to be used
+		}
+		if err == nil {
+			s.enrol(c, &peerConn{s: s})
 		} else {
-			var web *net.TCPListener // to be passed on, beside the one that the platform holds
-			if len(s.listeners) > 1 {
-				web, _ = s.listeners[1].Listener.(*net.TCPListener)
-			}
-			go s.welcome(u.listener, web)
+			c.Close()
 		}
 	}
+	s.onLoop(func() { s.handing.dialing = false })
+}
+
+// admit begins to take clients.
+func (s *Server) admit() {
+	u := &s.handing
+	u.admitted = true
+	s.await()
 	s.serving = true
 	for _, l := range s.listeners {
 		go s.accept(l)
@@ -445,6 +460,28 @@
 		zap.String("uwsgi", s.cfg.UWSGI.Listen), zap.Bool("keys", s.core.Owner()))
 }
 
+// await makes this process the one that the next meets, once it takes clients
+// and has keys to hand over; anew, where another has taken the name and died.
+func (s *Server) await() {
+	u := &s.handing
+	if u.place == nil || !u.admitted || !s.core.Owner() {
+		return
+	}
+	if u.listener != nil {
+		u.listener.Close()
+	}
+	var err error
+	if u.listener, err = u.place.Listen(); err != nil {
+		s.log.Error("upgrade", zap.Error(err)) // this one serves, but cannot be relieved
+		return
+	}
+	var web *net.TCPListener // to be passed on, beside the one that the platform holds
+	if len(s.listeners) > 1 {
+		web, _ = s.listeners[1].Listener.(*net.TCPListener)
+	}
+	go s.welcome(u.listener, web)
+}
+
 // welcome lets in processes that come to take our place.
 func (s *Server) welcome(l *net.UnixListener, web *net.TCPListener) {
 	for {
--- a/internal/server/upgrade_test.go
+++ b/internal/server/upgrade_test.go
@@ -280,6 +280,39 @@
 	if n := engine.Runs()["other"] + engine.Runs()["had"]; n != 1 {
 		t.Errorf("%d runs of keys", n)
 	}
+	third := launch(t, at.process(t, standin.NewEngine(t, work).Address, "")) // finds the old one, whose name the dead one took
+	third.ready(t)
+	third.look(func() {
+		if !third.core.Owner() || third.core.Disown(nil) == 0 {
+			t.Error("the keys, or the doubt about some, do not pass on")
+		}
+	})
+}
+
+// An old process that comes back to itself hands its keys over after all.
+func TestOldProcessRecovers(t *testing.T) {
+	at := site(t)
+	engine := standin.NewEngine(t, work)
+	old := launch(t, at.process(t, engine.Address, ""))
+	old.ready(t)
+	c := old.open(t)
+	c.Send(1, standin.Fields("note", "red", "key", 1, 3*time.Second), "once")
+	c.Next()
+	old.look(func() { old.handing.listener.Close() })
+	stuck, err := old.handing.place.Listen() // greets nobody
+	if err != nil {
+		t.Fatal(err)
+	}
+	young := launch(t, at.process(t, standin.NewEngine(t, work).Address, ""))
+	stuck.Close()
+	old.look(old.await)
+	young.eventually(t, "the keys are owned", young.core.Owner)
+	young.ready(t)
+	d := young.open(t)
+	d.Send(1, standin.Fields("note", "red", "key", 2, 3*time.Second), "once")
+	if got, _ := d.Next(); got.Code != frame.Served {
+		t.Errorf("a key of the old process: %+v", got)
+	}
 }
 
 // An old process that is stuck holds the new one up for some seconds only. The
--- a/internal/uwsgi/request.go
+++ b/internal/uwsgi/request.go
@@ -104,6 +104,9 @@
 	}
 	if r.Tenant < 0 && len(book.Tenants) <= 1 {
 		r.Tenant = 0
+		for _, only := range book.Tenants { // its place need not be the first: others may have been dropped
+			r.Tenant = only
+		}
 	}
 	switch {
 	case r.Class < 0:
--- a/internal/uwsgi/uwsgi_test.go
+++ b/internal/uwsgi/uwsgi_test.go
@@ -152,3 +152,19 @@
 		}
 	})
 }
+
+// The only team left is the one meant, whatever its place.
+func TestOnlyTeam(t *testing.T) {
+	book := &Book{Classes: map[string]int{"c": 0}, Tenants: map[string]int{"left": 3}, Contracts: []Contract{{Deadline: 1000}}}
+	b, err := AppendRequest(nil, []Var{{VarClass, "c"}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	vars, _, err := Split(b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r, _, problem := ParseRequest(vars, book, 0); problem != nil || r.Tenant != 3 {
+		t.Errorf("%+v, %v", r, problem)
+	}
+}
