Hand connections to the loop without waiting; run the server's tests in parallel

Cause: the accepting goroutine waited for the loop after each connection and got the processor only every 10 ms while the loop was busy, so 1,000 connections took ten seconds to get in. Now it takes all that stands in the system's queue in one turn, each hand-over waits in a goroutine of its own, and the loop yields once a round.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -46,6 +46,7 @@
 	Engine string
 
 	InheritedFD int    // of the clients' listening socket, which the platform holds; 0 = none
+	Meeting     string // the folder where two processes of an upgrade meet; "" = the system's for passing files
 	Registry    string // "" = report nowhere
 	Seed        uint64
 	Stop        int64 // from the notice to leave to the kill, microseconds
--- a/internal/server/door_test.go
+++ b/internal/server/door_test.go
@@ -34,6 +34,7 @@
 // Calls in any order do what the table of states in docs/design.md says, and
 // whatever comes is served as ever.
 func TestOperatorStates(t *testing.T) {
+	t.Parallel()
 	engine := standin.NewEngine(t, standin.Echo(time.Millisecond))
 	registry, reports := standin.NewRegistry(t)
 	r := start(t, engine.Address, registry, "")
@@ -88,6 +89,7 @@
 
 // A call before clients are taken: no, and a drain then holds from the start.
 func TestEarlyCalls(t *testing.T) {
+	t.Parallel()
 	s := start(t, "127.0.0.1:1", "", "")
 	s.look(func() {
 		s.serving = false
@@ -105,6 +107,7 @@
 
 // What the figures say is what callers of both fronts saw.
 func TestFigures(t *testing.T) {
+	t.Parallel()
 	engine := standin.NewEngine(t, work)
 	r := start(t, engine.Address, "", operator(""))
 	r.eventually(t, "the engine's link", r.link.Ready)
@@ -135,6 +138,7 @@
 
 // Callers that hold on at the door keep out neither operators nor clients.
 func TestDoorIsNeverFull(t *testing.T) {
+	t.Parallel()
 	engine := standin.NewEngine(t, standin.Echo(time.Millisecond))
 	r := start(t, engine.Address, "", "")
 	r.eventually(t, "the engine's link", r.link.Ready)
--- a/internal/server/fronts_test.go
+++ b/internal/server/fronts_test.go
@@ -283,6 +283,7 @@
 }
 
 func TestWebStatuses(t *testing.T) {
+	t.Parallel()
 	backend := standin.NewBackend(t, work)
 	r := start(t, "127.0.0.1:1", "", operator(backend.Address))
 	vars := func(class, key string, timeout time.Duration) []uwsgi.Var {
@@ -327,6 +328,7 @@
 
 // A uwsgi server that was never reached has run nothing: refused, not failed.
 func TestUnreachedBackendRefuses(t *testing.T) {
+	t.Parallel()
 	r := start(t, "127.0.0.1:1", "", operator("127.0.0.1:1"))
 	if reply := standin.Post(r.web, standin.Packet(t, standin.Vars("note", "red", "k", time.Second), "x")); reply.Status != 503 {
 		t.Errorf("%+v", reply)
@@ -353,6 +355,7 @@
 }
 
 func TestWebCallerLeavesHalfway(t *testing.T) {
+	t.Parallel()
 	engine := standin.NewEngine(t, work)
 	r := start(t, engine.Address, "", operator(""))
 	packet := standin.Packet(t, standin.Vars("look", "red", "", time.Second), "quick one")
@@ -375,6 +378,7 @@
 }
 
 func TestWebCallerLeavesAfterwards(t *testing.T) {
+	t.Parallel()
 	engine := standin.NewEngine(t, work)
 	r := start(t, engine.Address, "", operator(""))
 	packet := standin.Packet(t, standin.Vars("note", "red", "k", time.Second), "slow one")
@@ -393,6 +397,7 @@
 }
 
 func TestKeyRunsOnceAcrossFronts(t *testing.T) {
+	t.Parallel()
 	engine := standin.NewEngine(t, work)
 	r := start(t, engine.Address, "", operator(""))
 	c := standin.Dial(t, r.frames)
@@ -414,6 +419,7 @@
 // A drain under a mixed load: each request that was sent is answered, or its
 // connection was refused, and the process ends by itself.
 func TestMixedLoadDuringDrain(t *testing.T) {
+	t.Parallel()
 	engine := standin.NewEngine(t, work)
 	r := start(t, engine.Address, "", operator(""))
 	r.eventually(t, "the engine's link", r.link.Ready)
@@ -484,6 +490,7 @@
 // A uwsgi connection, written in any pieces and left at any point: a whole
 // request is answered once, a part of one is never entered.
 func TestWebConnectionAgainstModel(t *testing.T) {
+	t.Parallel()
 	engine := standin.NewEngine(t, work)
 	r := start(t, engine.Address, "", operator(""))
 	r.eventually(t, "the engine's link", r.link.Ready)
--- a/internal/server/reload_test.go
+++ b/internal/server/reload_test.go
@@ -16,6 +16,7 @@
 // way at the old address is answered through the new one, and runs once. A
 // faulty file changes nothing.
 func TestReload(t *testing.T) {
+	t.Parallel()
 	engine := standin.NewEngine(t, standin.Echo(300*time.Millisecond))
 	oldRegistry, oldReports := standin.NewRegistry(t)
 	newRegistry, newReports := standin.NewRegistry(t)
@@ -59,6 +60,7 @@
 
 // The operator's file moves a backend the same way: later calls go to the new one.
 func TestReloadMovesBackends(t *testing.T) {
+	t.Parallel()
 	before, after := standin.NewBackend(t, work), standin.NewBackend(t, work)
 	r := start(t, "127.0.0.1:1", "", operator(before.Address))
 	post := func(body string) {
@@ -97,6 +99,7 @@
 // promise it came under, a key runs once across the absence of its class, and
 // files that cannot be used whole change nothing and are counted.
 func TestRetune(t *testing.T) {
+	t.Parallel()
 	engine := standin.NewEngine(t, work)
 	r := start(t, engine.Address, "", "")
 	r.eventually(t, "the engine's link", r.link.Ready)
--- a/internal/server/seats_test.go
+++ b/internal/server/seats_test.go
@@ -14,6 +14,7 @@
 // More clients than there are places ask once and hold on, and as many say
 // nothing, on both fronts: each that asks is still let in and served.
 func TestHoldersMakeRoom(t *testing.T) {
+	t.Parallel()
 	engine := standin.NewEngine(t, standin.Echo(time.Millisecond))
 	r := start(t, engine.Address, "", "[uwsgi]\nlisten = \"127.0.0.1:0\"\n")
 	r.eventually(t, "the engine's link", r.link.Ready)
@@ -39,6 +40,7 @@
 
 // What never becomes a request gets a word or a close within 3 s.
 func TestSilentClientsAreClosed(t *testing.T) {
+	t.Parallel()
 	engine := standin.NewEngine(t, standin.Echo(time.Millisecond))
 	r := start(t, engine.Address, "", "")
 	whole := frame.AppendRequest(nil, 1, standin.Fields("look", "red", "", 1, 3*time.Second), []byte("b"))
@@ -68,6 +70,7 @@
 // A client that uses a number twice, or has more open than it may, is cut off
 // before any of what it sent runs.
 func TestMiscountedStreamsRunNothing(t *testing.T) {
+	t.Parallel()
 	engine := standin.NewEngine(t, standin.Echo(300*time.Millisecond))
 	r := start(t, engine.Address, "", "")
 	r.eventually(t, "the engine's link", r.link.Ready)
@@ -97,6 +100,7 @@
 
 // A client that sends what cannot be read again and again is not listened to for ever.
 func TestFaultsAreBounded(t *testing.T) {
+	t.Parallel()
 	engine := standin.NewEngine(t, standin.Echo(time.Millisecond))
 	r := start(t, engine.Address, "", "")
 	c := standin.Dial(t, r.frames)
@@ -120,6 +124,7 @@
 // Requests that cannot be read, with good ones between, each get an error and
 // cost the good ones nothing: a caller may know of a class that we do not.
 func TestFaultsAmongGoodRequests(t *testing.T) {
+	t.Parallel()
 	engine := standin.NewEngine(t, standin.Echo(time.Millisecond))
 	r := start(t, engine.Address, "", "")
 	r.eventually(t, "the engine's link", r.link.Ready)
@@ -138,6 +143,7 @@
 
 // The key of one request with the body of another gets no result, on either front.
 func TestKeyOfAnotherRequest(t *testing.T) {
+	t.Parallel()
 	engine := standin.NewEngine(t, standin.Echo(time.Millisecond))
 	r := start(t, engine.Address, "", "[uwsgi]\nlisten = \"127.0.0.1:0\"\n")
 	r.eventually(t, "the engine's link", r.link.Ready)
@@ -178,6 +184,7 @@
 
 // Answers that wait for slow readers are bounded in all, not only for each connection.
 func TestUnsentAnswersAreBounded(t *testing.T) {
+	t.Parallel()
 	engine := standin.NewEngine(t, standin.Echo(time.Millisecond))
 	r := start(t, engine.Address, "", "")
 	c, err := net.Dial("tcp", r.frames)
@@ -202,6 +209,7 @@
 
 // A deep check of which the engine says nothing is answered as bad in time.
 func TestDeepCheckEnds(t *testing.T) {
+	t.Parallel()
 	engine := standin.NewEngine(t, standin.Echo(time.Millisecond))
 	r := start(t, engine.Address, "", "")
 	c := standin.Dial(t, r.frames)
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"net"
 	"os"
+	"runtime"
 	"sync/atomic"
 	"time"
 
@@ -305,21 +306,31 @@
 	}
 }
 
-// accept takes connections as long as there is a slot for them.
+// accept takes connections as long as there is a slot for them. It never waits
+// for the loop: what stands in the system's queue is taken in one turn, see
+// docs/design/door.md.
 func (s *Server) accept(l front) {
 	for {
 		l.slots <- struct{}{}
 		c, err := l.Accept()
 		if err == nil {
-			_, err = s.client.EnrollContext(c, l.session())
-		} else if errors.Is(err, net.ErrClosed) {
-			return
+			go s.enter(c, l)
+			continue
 		}
-		if err != nil {
-			<-l.slots
-			s.log.Warn("accept", zap.Error(err))
-			time.Sleep(10 * time.Millisecond) // out of descriptors, most likely
+		<-l.slots
+		if errors.Is(err, net.ErrClosed) {
+			return
 		}
+		s.log.Warn("accept", zap.Error(err))
+		time.Sleep(10 * time.Millisecond) // out of descriptors, most likely
+	}
+}
+
+// enter hands an accepted connection to the loop and waits until that has it.
+func (s *Server) enter(c net.Conn, l front) {
+	if _, err := s.client.EnrollContext(c, l.session()); err != nil {
+		<-l.slots
+		s.log.Warn("accept", zap.Error(err))
 	}
 }
 
@@ -423,6 +434,7 @@
 	s.leave(t)
 	s.report(t)
 	s.arm()
+	runtime.Gosched() // what is ready beside the loop (connections to hand over) runs once a round
 }
 
 // flush writes all that is ready to go.
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -134,6 +134,7 @@
 }
 
 func TestServesAndReports(t *testing.T) {
+	t.Parallel()
 	engine := standin.NewEngine(t, standin.Echo(5*time.Millisecond))
 	registry, reports := standin.NewRegistry(t)
 	r := start(t, engine.Address, registry, "")
@@ -161,6 +162,7 @@
 // A registry that is down costs its reports and nothing else, and hears again
 // of the server, by its state of then, when it is back.
 func TestRegistryDownAndBack(t *testing.T) {
+	t.Parallel()
 	engine := standin.NewEngine(t, standin.Echo(time.Millisecond))
 	registry, reports, down := standin.NewRegistryAt(t, "127.0.0.1:0")
 	r := start(t, engine.Address, registry, "")
--- a/internal/server/session_test.go
+++ b/internal/server/session_test.go
@@ -63,6 +63,7 @@
 }
 
 func TestConnectionAgainstModel(t *testing.T) {
+	t.Parallel()
 	engine := standin.NewEngine(t, standin.Echo(time.Millisecond))
 	r := start(t, engine.Address, "", "")
 	r.eventually(t, "the engine's link", r.link.Ready)
@@ -129,6 +130,7 @@
 
 // What cannot be told apart any more ends the connection, after an error on stream 0.
 func TestMalformedStreamCloses(t *testing.T) {
+	t.Parallel()
 	engine := standin.NewEngine(t, standin.Echo(time.Millisecond))
 	r := start(t, engine.Address, "", "")
 	for name, bytes := range map[string][]byte{
@@ -157,6 +159,7 @@
 
 // Large frames that never come whole are bounded over all connections.
 func TestHalfSentFramesAreBounded(t *testing.T) {
+	t.Parallel()
 	engine := standin.NewEngine(t, standin.Echo(time.Millisecond))
 	r := start(t, engine.Address, "", "")
 	part := make([]byte, frame.MaxLength)
@@ -179,6 +182,7 @@
 
 // A caller that does not read is closed once too much waits for it.
 func TestSlowReaderIsClosed(t *testing.T) {
+	t.Parallel()
 	result := make([]byte, frame.MaxResult)
 	engine := standin.NewEngine(t, func(string) standin.Work { return standin.Work{Result: string(result)} })
 	r := start(t, engine.Address, "", "")
@@ -198,6 +202,7 @@
 
 // A cut of the engine's link loses no run and repeats no keyed one.
 func TestEngineLinkCut(t *testing.T) {
+	t.Parallel()
 	engine := standin.NewEngine(t, standin.Echo(100*time.Millisecond))
 	r := start(t, engine.Address, "", "")
 	c := standin.Dial(t, r.frames)
@@ -229,6 +234,7 @@
 
 // A deep check follows what the module says: as stored, or the engine's word.
 func TestDeepChecks(t *testing.T) {
+	t.Parallel()
 	engine := standin.NewEngine(t, standin.Echo(time.Millisecond))
 	r := start(t, engine.Address, "", "")
 	r.eventually(t, "the engine's link", r.link.Ready)
@@ -264,6 +270,7 @@
 
 // Where the module wants idle connections closed, callers are asked to.
 func TestIdleConnectionsAreSentAway(t *testing.T) {
+	t.Parallel()
 	engine := standin.NewEngine(t, standin.Echo(time.Millisecond))
 	r := start(t, engine.Address, "", "")
 	used := standin.Dial(t, r.frames)
@@ -283,6 +290,7 @@
 // Callers learn late of a drain: one that comes after GOAWAY went out still
 // finds the listener open, and gets an answer.
 func TestLateCallerIsAnsweredInDrain(t *testing.T) {
+	t.Parallel()
 	engine := standin.NewEngine(t, standin.Echo(time.Millisecond))
 	r := start(t, engine.Address, "", "")
 	r.eventually(t, "the engine's link", r.link.Ready)
--- a/internal/server/upgrade.go
+++ b/internal/server/upgrade.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"net"
@@ -277,7 +278,7 @@
 		return nil
 	}
 	var err error
-	if u.place, err = handover.NewPlace(os.TempDir(), s.cfg.Name); err != nil {
+	if u.place, err = handover.NewPlace(cmp.Or(s.cfg.Meeting, os.TempDir()), s.cfg.Name); err != nil {
 		return err
 	}
 	s.core.Disown(nil)
--- a/internal/server/upgrade_test.go
+++ b/internal/server/upgrade_test.go
@@ -19,24 +19,27 @@
 )
 
 // socket is the clients' listening socket, as the platform holds it.
-type socket struct{ *net.TCPListener }
+type socket struct {
+	*net.TCPListener
+	folder string
+}
 
 // site prepares what the processes of one server share: the folder and the socket.
 func site(t *testing.T) socket {
 	t.Helper()
-	t.Setenv("TMPDIR", t.TempDir())
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { l.Close() })
-	return socket{l.(*net.TCPListener)}
+	return socket{l.(*net.TCPListener), t.TempDir()}
 }
 
 // process configures one process of the server, with an engine's address of its own.
 func (s socket) process(t *testing.T, engine, more string) *config.Config {
 	t.Helper()
 	cfg := platform(t, engine, "")
+	cfg.Meeting = s.folder
 	if more != "" {
 		var err error
 		if cfg, err = config.ParseOperator(more, cfg); err != nil {
@@ -90,6 +93,7 @@
 // whichever process their tries come to; the old one answers all that it read
 // and ends; callers are let in all along, on both fronts.
 func TestUpgrade(t *testing.T) {
+	t.Parallel()
 	at := site(t)
 	first := standin.NewEngine(t, work)
 	old := launch(t, at.process(t, first.Address, operator("")))
@@ -191,6 +195,7 @@
 
 // A third process can take the place of the second.
 func TestUpgradeAgain(t *testing.T) {
+	t.Parallel()
 	at := site(t)
 	engine := standin.NewEngine(t, work)
 	before := launch(t, at.process(t, engine.Address, ""))
@@ -220,6 +225,7 @@
 
 // A process that starts while another drains gets its keys all the same.
 func TestStartDuringDrain(t *testing.T) {
+	t.Parallel()
 	at := site(t)
 	engine := standin.NewEngine(t, work)
 	old := launch(t, at.process(t, engine.Address, ""))
@@ -250,6 +256,7 @@
 // A new process that dies before it is told to be alone leaves the server to
 // the old one: what it may have started is in doubt and fails, all else is served.
 func TestNewProcessDies(t *testing.T) {
+	t.Parallel()
 	at := site(t)
 	engine := standin.NewEngine(t, work)
 	old := launch(t, at.process(t, engine.Address, ""))
@@ -291,6 +298,7 @@
 
 // An old process that comes back to itself hands its keys over after all.
 func TestOldProcessRecovers(t *testing.T) {
+	t.Parallel()
 	at := site(t)
 	engine := standin.NewEngine(t, work)
 	old := launch(t, at.process(t, engine.Address, ""))
@@ -318,6 +326,7 @@
 // An old process that is stuck holds the new one up for some seconds only. The
 // keys stay out of its hands until the other is dead and a window has passed.
 func TestOldProcessStalls(t *testing.T) {
+	t.Parallel()
 	at := site(t)
 	engine := standin.NewEngine(t, work)
 	old := launch(t, at.process(t, engine.Address, ""))
@@ -348,6 +357,7 @@
 
 // What other connections at the meeting place say ends them and nothing else.
 func TestStrangersAtTheMeetingPlace(t *testing.T) {
+	t.Parallel()
 	at := site(t)
 	engine := standin.NewEngine(t, work)
 	old := launch(t, at.process(t, engine.Address, ""))
@@ -389,6 +399,7 @@
 // A table of keys larger than what may wait unsent passes over whole, and what
 // is said meanwhile comes after it.
 func TestLargeTable(t *testing.T) {
+	t.Parallel()
 	at := site(t)
 	engine := standin.NewEngine(t, work)
 	old := launch(t, at.process(t, engine.Address, ""))
