--- /dev/null
+++ b/internal/lab/site.go
@@ -0,0 +1,75 @@
+package lab
+
+import (
+	"kiteslip"
+	"kiteslip/internal/pool"
+	"kiteslip/internal/standin/box"
+)
+
+// The classes of the small broker that measurements play: those of
+// deploy/operator.toml, in that order.
+const (
+	CodeToPoint = iota
+	PointToCode
+	LandmarkSearch
+	RegisterAddress
+)
+
+// ClassNames are the names of the classes.
+var ClassNames = [...]string{"code-to-point", "point-to-code", "landmark-search", "register-address"}
+
+// mix is each class's part of the requests, and its work in milliseconds.
+var mix = [...]struct{ part, least, most float64 }{{0.35, 240, 420}, {0.25, 240, 420}, {0.25, 150, 260}, {0.15, 240, 420}}
+
+// Broker is the module's settings of a small broker.
+func Broker(cores int) kiteslip.Settings {
+	return kiteslip.Settings{
+		Cores: cores, MemoryKB: 256 * 1024, RunFactor: 4, KeyKB: 8, MaxRetryAfter: Second,
+		Classes: []kiteslip.Class{
+			{Effect: kiteslip.Repeatable, Aim: 1_400_000, Limit: 4_200_000, Worth: 1, LateWorth: 0.2},
+			{Effect: kiteslip.Repeatable, Aim: 1_400_000, Limit: 4_200_000, Worth: 1, LateWorth: 0.2},
+			{Effect: kiteslip.Repeatable, Aim: 1_100_000, Limit: 3_500_000, Worth: 2, LateWorth: 0.2},
+			{Effect: kiteslip.Keyed, Aim: 1_800_000, Limit: 5_300_000, Window: 15_765_000, Worth: 4, LateWorth: 0.2},
+		},
+		Tenants:        []kiteslip.Tenant{{Quota: 1e6}},
+		OverShareWorth: 0.05, WorthByWork: true, Tick: 4_000, DrainGrace: 2_000_000, AnswerSlack: 60_000,
+		Goal: kiteslip.Goal{Whole: 0.5, WorstClass: 0.2, WorstTenant: 0.1, WorstWindow: 0.2},
+	}
+}
+
+// BrokerPools are the pools of the same broker.
+func BrokerPools(m *kiteslip.Settings) *pool.Settings {
+	s := &pool.Settings{Cores: m.Cores, MemoryKB: m.MemoryKB, RunFactor: m.RunFactor, MaxAdvice: m.MaxRetryAfter, CheapReserve: 0.25,
+		Pools: []pool.Spec{
+			{Name: "lookups", Classes: []int{CodeToPoint, PointToCode}, Share: 0.15},
+			{Name: "landmarks", Classes: []int{LandmarkSearch}, Share: 0.5},
+			{Name: "registrations", Classes: []int{RegisterAddress}, Share: 0.35},
+		}}
+	for i := range m.Classes {
+		s.Classes = append(s.Classes, pool.Class{Aim: m.Classes[i].Aim, Limit: m.Classes[i].Limit})
+	}
+	return s
+}
+
+// BrokerBox is the machine behind it: it gets less done beyond four runs a core.
+func BrokerBox(cores int) box.Spec { return box.Spec{Cores: cores, Speed: 1, Knee: 4, Loss: 0.1} }
+
+// Mixed is the usual mix of classes at a part of what the cores can do.
+func Mixed(cores int, load float64) []Stream {
+	mean := 0.0
+	for _, c := range mix {
+		mean += c.part * (c.least + c.most) / 2
+	}
+	total := load * float64(cores) * 1000 / mean
+	var streams []Stream
+	for i, c := range mix {
+		streams = append(streams, Stream{Class: i, Rate: Steady(total * c.part), Work: Even(c.least, c.most)})
+	}
+	return streams
+}
+
+// Only is traffic of one class at a part of what the cores can do.
+func Only(cores int, class int, load float64) Stream {
+	c := mix[class]
+	return Stream{Class: class, Rate: Steady(load * float64(cores) * 1000 / ((c.least + c.most) / 2)), Work: Even(c.least, c.most)}
+}
--- /dev/null
+++ b/internal/standin/box/box_test.go
@@ -0,0 +1,122 @@
+package box
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"math"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// Whatever is begun, and however the speed changes: each run gets the work done
+// that it states, in the time that the shared cores take for it.
+func TestWorkIsDone(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		cores := rapid.IntRange(1, 4).Draw(t, "cores")
+		b := New(Spec{Cores: cores}, 0)
+		total, now, speed := 0.0, int64(0), 1.0
+		capacity := 0.0 // work that the cores could do
+		begun, ended := 0, 0
+		step := func(to int64) {
+			for now < to {
+				at := to
+				if next := b.Next(); next != 0 && next < at {
+					at = next
+				}
+				capacity += float64(at-now) * speed * float64(min(cores, b.Runs()))
+				now = at
+				ended += len(b.Advance(now))
+			}
+		}
+		for id := range rapid.IntRange(1, 30).Draw(t, "runs") {
+			work := float64(rapid.IntRange(1, 100_000).Draw(t, "work"))
+			total += work
+			b.Begin(now, uint64(id), work)
+			begun++
+			step(now + rapid.Int64Range(0, 50_000).Draw(t, "gap"))
+			if rapid.Bool().Draw(t, "change") {
+				speed = rapid.Float64Range(0.2, 2).Draw(t, "speed")
+				b.Scale(now, speed)
+			}
+		}
+		step(now + 1e9)
+		if ended != begun || b.Runs() != 0 || math.Abs(capacity-total) > float64(begun)*8*float64(cores) {
+			t.Fatalf("%d of %d runs ended, %v of %v work done", ended, begun, capacity, total)
+		}
+	})
+}
+
+// A crowd costs throughput, and a cold box is slow until it is warm.
+func TestCrowdAndCold(t *testing.T) {
+	t.Parallel()
+	last := func(b *Box) (at int64) {
+		for b.Next() != 0 {
+			for _, e := range b.Advance(b.Next()) {
+				at = e.At
+			}
+		}
+		return at
+	}
+	b := New(Spec{Cores: 1, Knee: 2, Loss: 0.5}, 0)
+	for id := range uint64(4) {
+		b.Begin(0, id, 100_000)
+	}
+	if at := last(b); at < 790_000 || at > 810_000 {
+		t.Errorf("four runs of 100 ms on one core, crowded from two: over after %d us, want 800,000", at)
+	}
+	b = New(Spec{Cores: 1}, 0)
+	b.Cold(0, 0.5, 1_000_000)
+	b.Begin(0, 1, 750_000)
+	if at := last(b); at < 980_000 || at > 1_020_000 {
+		t.Errorf("750 ms of work while the speed rises from half within a second: over after %d us, want 1,000,000", at)
+	}
+}
+
+// On a socket the engine speaks its protocol; a link that comes back hears what it missed.
+func TestEngineOnASocket(t *testing.T) {
+	t.Parallel()
+	e, err := Serve(Spec{Cores: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer e.Close()
+	attach := func(n int) (net.Conn, *bufio.Reader) {
+		c, err := net.Dial("tcp", e.Address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.SetDeadline(time.Now().Add(10 * time.Second)) //nolint:errcheck // a TCP connection takes it
+		fmt.Fprintf(c, "ATTACH %d\r\n", n)
+		return c, bufio.NewReader(c)
+	}
+	expect := func(r *bufio.Reader, prefix string) {
+		t.Helper()
+		if line, err := r.ReadString('\n'); err != nil || !strings.HasPrefix(line, prefix) {
+			t.Fatalf("got %q, %v; want %q", line, err, prefix)
+		}
+	}
+	c, r := attach(0)
+	expect(r, "HELLO hot")
+	began := time.Now()
+	io.WriteString(c, "RUN a look 5\r\n40000\r\nRUN a look 5\r\n40000\r\nRUN b look 1\r\nx\r\nSTAT g\r\nTEST t\r\n") //nolint:errcheck // it shows
+	expect(r, "DONE 1 b complete 0 1")
+	expect(r, "x")
+	expect(r, "STATS g 1.00 0")
+	expect(r, "TESTED t complete")
+	e.Change(func(b *Box, now int64) { b.Scale(now, 0.5) })
+	expect(r, "DONE 2 a complete")
+	if took := time.Since(began); took < 60*time.Millisecond {
+		t.Errorf("40 ms of work at half the speed took %v", took)
+	}
+	c.Close()
+	c, r = attach(1)
+	defer c.Close()
+	expect(r, "HELLO hot")
+	expect(r, "DONE 2 a complete")
+}
--- /dev/null
+++ b/internal/standin/box/engine.go
@@ -0,0 +1,236 @@
+package box
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Engine is a Box on a loopback socket that speaks the engine's protocol, on
+// the machine's clock. The body of a request states its work as the number of
+// microseconds that it begins with; a body without one takes no time at all.
+// The result of a run is its body.
+type Engine struct {
+	Address string
+
+	l     net.Listener
+	mu    sync.Mutex
+	cond  *sync.Cond
+	box   *Box
+	next  uint64
+	live  map[uint64]running
+	names map[string]bool
+	sent  int      // notices since the start
+	kept  [][]byte // the last of them, for a link that comes back
+	out   *bufio.Writer
+	dirty bool
+	timer *time.Timer
+	done  bool
+}
+
+type running struct {
+	name string
+	body []byte
+}
+
+const (
+	bodyMost = 1 << 20
+	lineMost = 4 << 10
+	keptMost = 1 << 14 // notices that a link which comes back can still hear
+)
+
+func clock() int64 { return time.Now().UnixMicro() }
+
+// Serve starts an engine on a free loopback address.
+func Serve(spec Spec) (*Engine, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("engine stand-in: %w", err)
+	}
+	e := &Engine{Address: l.Addr().String(), l: l, box: New(spec, clock()), live: map[uint64]running{}, names: map[string]bool{}}
+	e.cond = sync.NewCond(&e.mu)
+	e.timer = time.AfterFunc(time.Hour, e.tick)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go e.talk(c)
+		}
+	}()
+	go e.flush()
+	return e, nil
+}
+
+// Close ends the engine; an open link ends with its caller.
+func (e *Engine) Close() {
+	e.l.Close()
+	e.mu.Lock()
+	e.done = true
+	e.timer.Stop()
+	e.cond.Broadcast()
+	e.mu.Unlock()
+}
+
+// Change lets f act on the box, at the time now.
+func (e *Engine) Change(f func(b *Box, now int64)) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	f(e.box, clock())
+	e.settle()
+}
+
+func (e *Engine) tick() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.settle()
+}
+
+// settle sends what has ended and sets the timer; the lock is held.
+func (e *Engine) settle() {
+	for _, end := range e.box.Advance(clock()) {
+		r := e.live[end.ID]
+		delete(e.live, end.ID)
+		e.end(r, end.At-end.Began)
+	}
+	if next := e.box.Next(); next != 0 && !e.done {
+		e.timer.Reset(time.Duration(next-clock()) * time.Microsecond)
+	}
+}
+
+func (e *Engine) end(r running, took int64) {
+	delete(e.names, r.name)
+	e.sent++
+	notice := fmt.Appendf(nil, "DONE %d %s complete %d %d\r\n%s\r\n", e.sent, r.name, took/1000, len(r.body), r.body)
+	if e.kept = append(e.kept, notice); len(e.kept) > 2*keptMost {
+		e.kept = append([][]byte(nil), e.kept[keptMost:]...)
+	}
+	if e.out != nil {
+		e.out.Write(notice) //nolint:errcheck // a lost link shows to its reader
+		e.wake()
+	}
+}
+
+func (e *Engine) wake() {
+	e.dirty = true
+	e.cond.Signal()
+}
+
+// flush writes what has gathered, as a busy engine does.
+func (e *Engine) flush() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for !e.done {
+		if !e.dirty {
+			e.cond.Wait()
+			continue
+		}
+		e.dirty = false
+		if e.out != nil {
+			e.out.Flush() //nolint:errcheck // a lost link shows to its reader
+		}
+	}
+}
+
+var errCommand = errors.New("engine stand-in: not a command")
+
+func (e *Engine) talk(c net.Conn) {
+	defer c.Close()
+	in := bufio.NewReaderSize(c, 256<<10)
+	for {
+		line, err := in.ReadSlice('\n')
+		if err != nil || len(line) > lineMost {
+			return
+		}
+		if err := e.command(c, in, bytes.Fields(line)); err != nil {
+			return
+		}
+	}
+}
+
+func (e *Engine) command(c net.Conn, in *bufio.Reader, words [][]byte) error {
+	if len(words) < 2 {
+		return errCommand
+	}
+	tag := string(words[1])
+	switch string(words[0]) {
+	case "ATTACH":
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.out = bufio.NewWriterSize(c, 256<<10)
+		fmt.Fprint(e.out, "HELLO hot 60000\r\n")
+		heard, _ := strconv.Atoi(tag)
+		for _, notice := range e.kept[min(max(0, len(e.kept)-(e.sent-heard)), len(e.kept)):] {
+			e.out.Write(notice) //nolint:errcheck // a lost link shows to its reader
+		}
+		e.wake()
+		return nil
+	case "RUN":
+		if len(words) != 4 {
+			return errCommand
+		}
+		size, err := strconv.Atoi(string(words[3]))
+		if err != nil || size < 0 || size > bodyMost {
+			return errCommand
+		}
+		body := make([]byte, size+2)
+		if _, err := io.ReadFull(in, body); err != nil {
+			return err
+		}
+		e.begin(tag, body[:size])
+		return nil
+	case "STAT":
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		if e.out != nil {
+			n := e.box.Runs()
+			fmt.Fprintf(e.out, "STATS %s %.2f %d 0.1 4\r\n", tag, min(1, float64(n)/float64(e.box.Cores())), max(0, n-e.box.Cores()))
+			e.wake()
+		}
+		return nil
+	case "TEST":
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		if e.out != nil {
+			fmt.Fprintf(e.out, "TESTED %s complete\r\n", tag)
+			e.wake()
+		}
+		return nil
+	}
+	return errCommand
+}
+
+// begin starts a run; one under a name that runs already is the same run.
+func (e *Engine) begin(name string, body []byte) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.names[name] {
+		return
+	}
+	e.names[name] = true
+	if work := Work(body); work > 0 {
+		e.next++
+		e.live[e.next] = running{name, body}
+		e.box.Begin(clock(), e.next, work)
+		e.settle()
+		return
+	}
+	e.end(running{name, body}, 0)
+}
+
+// Work is what a body states as its work, in microseconds.
+func Work(body []byte) float64 {
+	n := 0
+	for n < len(body) && n < 15 && body[n] >= '0' && body[n] <= '9' {
+		n++
+	}
+	work, _ := strconv.ParseFloat(string(body[:n]), 64)
+	return work
+}
