--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -11,6 +11,7 @@
 	"strconv"
 
 	"kiteslip"
+	"kiteslip/internal/pool"
 )
 
 // Code is the kind of a final answer.
@@ -83,6 +84,10 @@
 	result   []byte
 	copies   []*Request // wait for the result of this one
 
+	pooled  pooled  // what the pools' book has of it
+	touched bool    // it is in the list of those to look at
+	mark    float64 // of its run, for the book
+
 	elsewhere bool     // runs in the other process of an upgrade
 	claims    []uint32 // of that one, which wait for the result too
 }
@@ -103,6 +108,7 @@
 	Seed   uint64
 	Log    func(line string) // takes the module's lines for the operators
 	Off    []bool            // classes that are no longer served
+	Pools  *pool.Settings    // nil = there are none
 }
 
 // keyMargin lengthens the window of a key here: a try that came within it and
@@ -163,6 +169,9 @@
 	counts  Counts
 	classes []Answers
 
+	pools   *pool.Book // nil = there are none
+	touched []*Request // may have moved in the pools' book
+
 	withdrawn bool // by an operator
 
 	owner  bool  // of the keys, see keys.go
@@ -201,8 +210,14 @@
 	if set.Log == nil {
 		set.Log = func(string) {}
 	}
+	var pools *pool.Book
+	if set.Pools != nil {
+		if pools, err = pool.New(*set.Pools); err != nil {
+			return nil, err
+		}
+	}
 	return &Core{
-		set: set, worker: worker, runner: runner, good: true, stored: true, owner: true,
+		set: set, pools: pools, worker: worker, runner: runner, good: true, stored: true, owner: true,
 		open: map[kiteslip.RequestID]*Request{}, names: map[string]*Request{}, table: map[string]*entry{},
 		claims: map[kiteslip.RequestID]*Request{}, classes: make([]Answers, len(set.Module.Classes)),
 	}, nil
@@ -211,11 +226,19 @@
 // Retune takes over new settings, in which classes and tenants have the places
 // that they had, and new ones follow. On an error nothing has changed. A key
 // whose request ran under a shorter window is kept for the longer one.
-func (c *Core) Retune(module kiteslip.Settings, off []bool) error {
+func (c *Core) Retune(module kiteslip.Settings, off []bool, pools *pool.Settings) error {
+	if pools != nil {
+		if err := pools.Check(); err != nil {
+			return err
+		}
+	}
 	if err := c.worker.Retune(module); err != nil {
 		return err
 	}
 	c.set.Module, c.set.Off = module, off
+	if err := c.repool(pools); err != nil {
+		return err
+	}
 	for len(c.classes) < len(module.Classes) {
 		c.classes = append(c.classes, Answers{})
 	}
@@ -268,6 +291,7 @@
 	c.nextID++
 	r.id = c.nextID
 	c.open[r.id], c.names[r.Name] = r, r
+	c.touch(r)
 	c.owed++
 	c.counts.Read++
 	if c.dueAt == 0 || r.Due-dueMargin < c.dueAt {
@@ -368,6 +392,7 @@
 		return
 	}
 	r.phase, r.outcome, r.result, r.endedAt = ended, outcome, result, r.began+elapsed
+	c.touch(r)
 	if e := c.table[r.entry]; outcome == kiteslip.Moot && e != nil && e.ran == r {
 		e.ran, e.guard = nil, 0 // proved never to have run
 	}
@@ -499,6 +524,7 @@
 		c.started = true
 		batch := c.events
 		c.events = c.spare[:0]
+		c.bookPools(now)
 		c.acts = c.worker.Step(now, batch, c.acts[:0])
 		c.spare = batch
 		for i := range c.acts {
@@ -506,6 +532,7 @@
 		}
 	}
 	c.overdue(now)
+	c.movePools(now)
 	c.sweep(now)
 }
 
@@ -534,6 +561,9 @@
 		c.run(now, r)
 	case kiteslip.Refuse, kiteslip.Fail:
 		if !r.answered {
+			if a.Kind == kiteslip.Refuse && r.phase == held && c.pools != nil {
+				c.pools.Refused(r.Class)
+			}
 			c.answer(r, c.giveUp(now, r, a))
 		}
 		if r.phase != running {
@@ -605,6 +635,7 @@
 		e.ran, e.guard = r, r.Arrived+class.Window+keyMargin
 	}
 	r.phase, r.began = running, now
+	c.touch(r)
 	if class.Effect == kiteslip.Keyed && !c.owner {
 		c.claims[r.id] = r
 		c.peer.Claim(uint32(r.id), r.Class, r.Key, r.Arrived, r.sum)
@@ -645,6 +676,7 @@
 // that was let start after r had come, with another body.
 func (c *Core) copyOf(r, head *Request) {
 	r.phase = copying
+	c.touch(r)
 	if c.keyed(r.Class) && r.sum != head.sum {
 		c.serveCopy(r, &Request{outcome: kiteslip.Failed})
 		return
@@ -670,6 +702,7 @@
 // let go: r itself may be kept for its result.
 func (c *Core) settle(r *Request) {
 	r.answered, r.From = true, nil
+	c.touch(r)
 	c.owed--
 }
 
@@ -677,6 +710,7 @@
 func (c *Core) drop(r *Request) {
 	c.forget(r)
 	r.phase = dropped
+	c.touch(r)
 	delete(c.open, r.id)
 	delete(c.names, r.Name)
 	c.serveCopies(r)
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -412,7 +412,7 @@
 	longer.Classes = append([]kiteslip.Class(nil), longer.Classes...)
 	longer.Classes[1].Window = 8_000_000
 	longer.Classes = append(longer.Classes, kiteslip.Class{Effect: kiteslip.Repeatable, Aim: 500_000, Limit: 1_500_000, Worth: 1})
-	if err := b.core.Retune(longer, nil); err != nil {
+	if err := b.core.Retune(longer, nil, nil); err != nil {
 		t.Fatal(err)
 	}
 	b.pass(5_000_000)
@@ -428,7 +428,7 @@
 		t.Error("the key ran again within its longer window")
 	}
 	for what, s := range map[string]kiteslip.Settings{"fewer classes": site(), "no cores": {}} {
-		if b.core.Retune(s, nil) == nil {
+		if b.core.Retune(s, nil, nil) == nil {
 			t.Errorf("%s are taken", what)
 		}
 	}
--- a/internal/core/keys.go
+++ b/internal/core/keys.go
@@ -170,6 +170,7 @@
 // The module hears of no run: one that took no time would mislead it.
 func (c *Core) unclaim(r *Request, outcome kiteslip.Outcome, result []byte) {
 	r.phase, r.outcome, r.result = ended, outcome, result
+	c.touch(r)
 	if outcome != kiteslip.OK {
 		r.outcome = kiteslip.Failed // another try may have run: no refusal
 	}
@@ -227,6 +228,9 @@
 
 // Beside takes in what the other process has on the engine that both share.
 func (c *Core) Beside(runs int, sizeKB float64) {
+	if c.pools != nil {
+		c.pools.Beside(c.now, runs)
+	}
 	c.events = append(c.events, kiteslip.Event{Kind: kiteslip.Beside, Runs: runs, SizeKB: sizeKB})
 }
 
--- /dev/null
+++ b/internal/pool/ceilings.go
@@ -0,0 +1,203 @@
+package pool
+
+import (
+	"math"
+
+	"kiteslip"
+)
+
+const (
+	leastWaiting = 16  // may always wait in a pool
+	mostWaiting  = 1e5 // whatever the rate
+	waitPart     = 1.0 // of what is done within the longest deadline may wait
+	creditRuns   = 4.0 // mean runs in each of its places that a pool may save up
+	debtRuns     = 1.0 // mean runs that it may owe
+	firstBase    = 0.1 // of its aim is the work of a class taken as, until one has run
+	stretchPart  = 0.5 // of its aim a run may take where the cores are shared
+	stretchSeen  = 5   // runs of a class before that counts
+	idleAdvice   = 2.0 // advice is at most this many times the longest aim of the pool's classes
+)
+
+// ownPlaces is the pool's own part of the places, not rounded. What runs shares
+// the cores evenly, so a part of the cores is that part of what runs.
+func (b *Book) ownPlaces(p *state) float64 {
+	return p.Share * max(float64(b.set.Cores), min(float64(b.running+b.beside), b.crowd))
+}
+
+// findCrowd works out how many runs together may share the cores: so many that none takes
+// more than a part of its aim. It is a delay target for the runs, below the
+// module's running limit, which looks at the mean of all classes.
+func (b *Book) findCrowd() float64 {
+	stretch := math.Inf(1)
+	for c := range b.classes {
+		if k := &b.classes[c]; k.seen >= stretchSeen && (k.running > 0 || k.waiting > 0) {
+			stretch = min(stretch, stretchPart*float64(b.set.Classes[c].Aim)/k.mean)
+		}
+	}
+	return float64(b.set.Cores) * max(1, stretch)
+}
+
+// earn moves the credits: a pool earns its share and pays for the places that
+// it has. What it has saved up, or owes, is bounded.
+func (b *Book) earn(dt float64) {
+	places := max(float64(b.set.Cores), min(float64(b.running+b.beside), b.crowd))
+	for i := range b.pools {
+		p := &b.pools[i]
+		if p.Share == 0 {
+			continue
+		}
+		p.credit += dt * (p.Share*places - float64(p.running))
+		p.credit = max(-debtRuns*p.run, min(creditRuns*float64(b.set.Cores)*p.Share*p.run, p.credit))
+	}
+}
+
+// meanCost is the mean work of the pool's classes, weighed by what is there of them.
+func (b *Book) meanCost(p *state) float64 {
+	sum, n := 0.0, 0.0
+	for _, c := range p.Classes {
+		k := &b.classes[c]
+		w := float64(k.waiting+k.running) + 1e-3
+		base := k.mean
+		if k.seen == 0 {
+			base = firstBase * float64(b.set.Classes[c].Aim)
+		}
+		sum, n = sum+w*base, n+w
+	}
+	if n == 0 {
+		return 1
+	}
+	return max(1, sum/n)
+}
+
+// own is the pool's own running places now: its share, rounded up while it has
+// credit and down while it owes, and one more for each whole run that it has
+// saved up, so that a pool which asks for less than its share does not queue
+// for the chance that several of its requests come together.
+func (b *Book) own(p *state) int {
+	exact := b.ownPlaces(p)
+	n := math.Floor(exact)
+	if p.credit > 0 && exact > 0 {
+		if exact > n {
+			n++
+		}
+		n += math.Floor(min(p.credit/p.run, creditRuns*exact))
+	}
+	return int(n)
+}
+
+// Ceilings works out what the module is to keep to in the next batch. limit is
+// the module's running limit. What is returned is valid until the next call.
+func (b *Book) Ceilings(now int64, limit int) *kiteslip.Ceilings {
+	b.advance(now)
+	b.places = max(1, limit)
+	onCore := b.running + b.beside
+	b.crowd = b.findCrowd()
+	b.out.Places = int(min(1e6, b.crowd))
+	booked, claimed := 0.0, 0.0
+	for i := range b.pools {
+		p := &b.pools[i]
+		p.run = b.meanCost(p)
+		kb := p.heldKB + p.ranKB
+		booked += kb
+		if p.waiting+p.running > 0 {
+			claimed += max(0, p.memory()*b.set.MemoryKB-kb)
+		}
+	}
+	for i := range b.pools {
+		p := &b.pools[i]
+		out := &b.out.Pools[i]
+		p.own = b.own(p)
+		spare := int(math.Ceil(p.Reserve * float64(b.set.Cores)))
+		// The limit binds only beyond the cores: none is left idle for it.
+		most := max(int(p.limit.limit), p.own, p.running+b.set.Cores-onCore, spare)
+		p.most = max(1, min(most, max(p.own, int(math.Ceil(p.most01()*float64(b.places))))))
+		rate := b.drain(now, p)
+		out.Own, out.Most, out.Spare = p.own, p.most, spare
+		out.Cores = min(max(p.Share*float64(b.set.Cores), float64(p.own))+float64(spare), float64(b.set.Cores))
+		out.Waiting = b.mayWait(p, rate)
+		own := p.memory() * b.set.MemoryKB
+		kb := p.heldKB + p.ranKB
+		mine := 0.0
+		if p.waiting+p.running > 0 {
+			mine = max(0, own-kb)
+		}
+		free := b.set.MemoryKB - (booked - kb) - (claimed - mine)
+		out.OwnKB = own
+		out.MostKB = min(p.memoryMost()*b.set.MemoryKB, max(own, free))
+		out.After = b.advice(p, rate, out.Waiting)
+	}
+	b.out.Cheap, b.out.CheapSpare = b.cheap, 0
+	if b.cheap >= 0 {
+		b.out.CheapSpare = int(math.Ceil(b.set.CheapReserve * float64(b.set.Cores)))
+	}
+	return &b.out
+}
+
+func (p *state) most01() float64 { return p.Spec.most() }
+
+// drain is how many requests a second the pool gets done: as seen of late, or
+// as its share promises if that is more.
+func (b *Book) drain(now int64, p *state) float64 {
+	promised := p.Share * float64(b.set.Cores) / p.run * 1e6
+	return max(p.rate.perSecond(now), promised, 1e-3)
+}
+
+// mayWait is how many requests may wait: by Little's law what is done within
+// the longest deadline. What comes behind that can't be served.
+func (b *Book) mayWait(p *state, rate float64) int {
+	if p.Waiting > 0 {
+		return p.Waiting
+	}
+	longest := int64(0)
+	for _, c := range p.Classes {
+		longest = max(longest, b.set.Classes[c].Limit)
+	}
+	if p.Name == Rest {
+		return mostWaiting
+	}
+	return max(leastWaiting, int(min(waitPart*rate*float64(longest)/1e6, mostWaiting)))
+}
+
+// advice is how long what a pool turns away should stay away: until the excess has drained.
+func (b *Book) advice(p *state, rate float64, most int) int64 {
+	if b.set.MaxAdvice == 0 {
+		return 0
+	}
+	over := max(0, float64(p.waiting-most)) + 1 + float64(p.waiting)/4
+	aim := int64(0)
+	for _, c := range p.Classes {
+		aim = max(aim, b.set.Classes[c].Aim)
+	}
+	after := min(int64(over/rate*1e6), int64(idleAdvice*float64(aim)))
+	return max(1000, min(after, b.set.MaxAdvice))
+}
+
+// Figure is what operators see of one pool.
+type Figure struct {
+	Name             string
+	Limit            int // runs that it may have now
+	Running, Waiting int
+	Own              int // places of its own: its share of the cores
+	Saved            int // runs saved up, which it may have beyond its own places
+	Borrowed, Lent   int // runs beyond its own; own places that it leaves to others
+	Refused          int // since the start
+	BookedKB, MostKB float64
+	Cheapest         bool // the cheapest class is one of its own
+	LatencyOverBase  float64
+	MayWait          int
+}
+
+// Figures lists the pools, the rest first.
+func (b *Book) Figures() []Figure {
+	list := make([]Figure, 0, len(b.pools))
+	for i := range b.pools {
+		p := &b.pools[i]
+		own := int(math.Round(p.Share * float64(b.set.Cores)))
+		list = append(list, Figure{Name: p.Name, Limit: min(p.most, b.out.Places), Running: p.running, Waiting: p.waiting, Own: own,
+			Borrowed: max(0, p.running-own), Lent: max(0, own-p.running-p.waiting), Refused: p.refused,
+			Saved:    int(max(0, p.credit/p.run)),
+			BookedKB: p.heldKB + p.ranKB, MostKB: b.out.Pools[i].MostKB, Cheapest: b.cheap >= 0 && b.of[b.cheap] == i,
+			LatencyOverBase: p.limit.short, MayWait: b.out.Pools[i].Waiting})
+	}
+	return list
+}
--- /dev/null
+++ b/internal/pool/pool.go
@@ -0,0 +1,310 @@
+// Package pool decides how many places and how much memory each pool of
+// classes may have. It keeps a book on what waits and runs, learns what a
+// request of each class costs, and before each batch works out ceilings for
+// the kiteslip module, which obeys them. docs/design/pools.md says why it is
+// as it is.
+//
+// A Book belongs to one goroutine. It reads no clock and does no I/O: the time
+// comes in with each call and only advances. Times and durations are
+// microseconds, sizes kilobytes. Nothing here grows with the number of
+// requests: all state is per class and per pool.
+package pool
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"slices"
+
+	"kiteslip"
+)
+
+// Spec declares one pool.
+type Spec struct {
+	Name       string
+	Classes    []int
+	Share      float64 // of the running places: its own whenever it wants them
+	Most       float64 // of the running places: never more; 0 = all
+	Reserve    float64 // of the cores: places beyond the running limit, not lent
+	Memory     float64 // of the memory: its own; 0 = as Share
+	MemoryMost float64 // of the memory: never more; 0 = all
+	Waiting    int     // requests that may wait; 0 = what can be served in time
+}
+
+// Class is what a Book must know of a class.
+type Class struct{ Aim, Limit int64 }
+
+// Settings declare the pools of one server.
+type Settings struct {
+	Cores        int
+	MemoryKB     float64
+	RunFactor    float64 // memory of a running request over that of a held one
+	MaxAdvice    int64   // longest advice to stay away; 0 = none is given
+	Classes      []Class
+	Pools        []Spec
+	CheapReserve float64 // of the cores: places beyond the running limit for the cheapest class
+}
+
+// Rest is the name of the pool of all classes that no other names. It has no share.
+const Rest = "rest"
+
+// Most pools of one server. A decision takes time for each of them.
+const Most = 64
+
+// ErrSettings is wrapped by all errors about settings.
+var ErrSettings = errors.New("pool")
+
+// Check returns an error that names each faulty key, joined; nil = none.
+func (s *Settings) Check() error {
+	var errs []error
+	fail := func(key, format string, args ...any) {
+		errs = append(errs, fmt.Errorf("%w: %s %s", ErrSettings, key, fmt.Sprintf(format, args...)))
+	}
+	part := func(key string, v float64) {
+		if !(v >= 0 && v <= 1) {
+			fail(key, "is %v, want 0 to 1", v)
+		}
+	}
+	if s.Cores <= 0 {
+		fail("cores", "is %d, want above 0", s.Cores)
+	}
+	if !(s.MemoryKB > 0) || math.IsInf(s.MemoryKB, 0) {
+		fail("memory", "is %v, want above 0", s.MemoryKB)
+	}
+	if len(s.Pools) > Most {
+		fail("pool", "is there %d times, want %d at most", len(s.Pools), Most)
+	}
+	part("pools.cheap_reserve", s.CheapReserve)
+	names, owner := map[string]bool{Rest: true}, map[int]string{}
+	share, memory := 0.0, 0.0
+	for i := range s.Pools {
+		p, key := &s.Pools[i], fmt.Sprintf("pool[%d]", i)
+		if p.Name == "" || names[p.Name] {
+			fail(key+".name", "is %q, want a name of its own other than %q", p.Name, Rest)
+		}
+		names[p.Name] = true
+		if len(p.Classes) == 0 {
+			fail(key+".classes", "is empty")
+		}
+		for _, c := range p.Classes {
+			if c < 0 || c >= len(s.Classes) {
+				fail(key+".classes", "has %d, which is no class", c)
+			} else if other, taken := owner[c]; taken {
+				fail(key+".classes", "has class %d, which is in pool %q", c, other)
+			} else {
+				owner[c] = p.Name
+			}
+		}
+		part(key+".share", p.Share)
+		part(key+".most", p.Most)
+		part(key+".reserve", p.Reserve)
+		part(key+".memory", p.Memory)
+		part(key+".memory_most", p.MemoryMost)
+		if p.Most > 0 && p.Most < p.Share {
+			fail(key+".most", "is %v, less than the share of %v", p.Most, p.Share)
+		}
+		if p.MemoryMost > 0 && p.MemoryMost < p.memory() {
+			fail(key+".memory_most", "is %v, less than its own %v", p.MemoryMost, p.memory())
+		}
+		if p.Waiting < 0 {
+			fail(key+".waiting", "is %d, want 0 or more", p.Waiting)
+		}
+		share += p.Share
+		memory += p.memory()
+	}
+	const rounding = 1e-9
+	if share > 1+rounding {
+		fail("pool.share", "adds up to %.3f over all pools, want 1 at most", share)
+	}
+	if memory > 1+rounding {
+		fail("pool.memory", "adds up to %.3f over all pools, want 1 at most", memory)
+	}
+	return errors.Join(errs...)
+}
+
+func (p *Spec) memory() float64 {
+	if p.Memory > 0 {
+		return p.Memory
+	}
+	return p.Share
+}
+
+func (p *Spec) most() float64 {
+	if p.Most > 0 {
+		return p.Most
+	}
+	return 1
+}
+
+func (p *Spec) memoryMost() float64 {
+	if p.MemoryMost > 0 {
+		return p.MemoryMost
+	}
+	return 1
+}
+
+// state is one pool in service.
+type state struct {
+	Spec
+	waiting, running int
+	heldKB, ranKB    float64 // booked for what waits and what runs
+	run              float64 // mean work of one of its runs, as of the last ceilings
+	credit           float64 // in microseconds of one place, see own
+	limit            limiter
+	rate             rate // of its finishes
+	refused          int
+	own              int // of the last ceilings
+	most             int
+}
+
+// Book is the state of all pools of a server. The pool at 0 is the rest.
+type Book struct {
+	set     Settings
+	pools   []state
+	of      []int // by class: its pool
+	classes []cost
+	cheap   int // the cheapest class; -1 = not known yet
+	now     int64
+	share   float64 // the work that one run got done so far, see advance
+	running int
+	crowd   float64 // how many runs together may share the cores, as of the last ceilings
+	beside  int     // runs of another process on the same cores
+	places  int     // the module's running limit, as told last
+	out     kiteslip.Ceilings
+}
+
+// New returns a book for settings that pass their Check.
+func New(s Settings) (*Book, error) {
+	b := &Book{cheap: -1}
+	if err := b.Set(s); err != nil {
+		return nil, err
+	}
+	return b, nil
+}
+
+// Set takes over new settings, in which classes have the places that they had
+// and new ones follow. A pool that keeps its name keeps its credit and limit;
+// what waits and runs is counted in the pool that its class is in now. On an
+// error nothing has changed.
+func (b *Book) Set(s Settings) error {
+	if err := s.Check(); err != nil {
+		return err
+	}
+	if len(s.Classes) < len(b.classes) {
+		return fmt.Errorf("%w: a class has lost its place", ErrSettings)
+	}
+	was := b.pools
+	b.set = s
+	b.places = max(b.places, s.Cores)
+	b.pools = make([]state, len(s.Pools)+1)
+	b.pools[0].Spec = Spec{Name: Rest}
+	b.of = make([]int, len(s.Classes))
+	for i := range s.Pools {
+		b.pools[i+1].Spec = s.Pools[i]
+		for _, c := range s.Pools[i].Classes {
+			b.of[c] = i + 1
+		}
+	}
+	for len(b.classes) < len(s.Classes) {
+		b.classes = append(b.classes, cost{})
+	}
+	for i := range b.pools {
+		p := &b.pools[i]
+		if at := slices.IndexFunc(was, func(o state) bool { return o.Name == p.Name }); at >= 0 {
+			p.credit, p.limit, p.rate, p.refused = was[at].credit, was[at].limit, was[at].rate, was[at].refused
+		} else {
+			p.limit.start(float64(s.Cores))
+		}
+	}
+	for c := range b.classes {
+		k, p := &b.classes[c], &b.pools[b.of[c]]
+		p.waiting += k.waiting
+		p.running += k.running
+		p.heldKB += k.heldKB
+		p.ranKB += k.ranKB
+	}
+	b.crowd = b.findCrowd()
+	for i := range b.pools {
+		b.pools[i].run = b.meanCost(&b.pools[i])
+	}
+	b.out = kiteslip.Ceilings{Of: b.of, Pools: make([]kiteslip.Ceiling, len(b.pools))}
+	return nil
+}
+
+// advance moves the clocks. The share clock counts the work that one run gets
+// done where all that runs shares the cores evenly.
+func (b *Book) advance(now int64) {
+	dt := now - b.now
+	if b.now == 0 || dt <= 0 {
+		b.now = max(b.now, now)
+		return
+	}
+	b.now = now
+	b.share += float64(dt) * min(1, float64(b.set.Cores)/float64(max(1, b.running+b.beside)))
+	b.earn(float64(dt))
+}
+
+// Arrive enters a request that waits from now on.
+func (b *Book) Arrive(now int64, class int, kb float64) {
+	b.advance(now)
+	k, p := &b.classes[class], &b.pools[b.of[class]]
+	k.waiting++
+	k.heldKB += kb
+	p.waiting++
+	p.heldKB += kb
+}
+
+// Leave takes out a request that waited.
+func (b *Book) Leave(now int64, class int, kb float64) {
+	b.advance(now)
+	k, p := &b.classes[class], &b.pools[b.of[class]]
+	k.waiting--
+	k.heldKB -= kb
+	p.waiting--
+	p.heldKB -= kb
+}
+
+// Begin notes that a request which waited runs from now on. What it returns is
+// wanted by End.
+func (b *Book) Begin(now int64, class int, kb float64) (mark float64) {
+	b.Leave(now, class, kb)
+	k, p := &b.classes[class], &b.pools[b.of[class]]
+	kb *= max(1, b.set.RunFactor)
+	k.running++
+	k.ranKB += kb
+	p.running++
+	p.ranKB += kb
+	b.running++
+	return b.share
+}
+
+// End takes in the end of a run that took so long. Only one that ended well is
+// learned from: a failure may be quick or slow for reasons of its own.
+func (b *Book) End(now int64, class int, kb, mark float64, elapsed int64, ok bool) {
+	b.advance(now)
+	work := b.share - mark
+	k, p := &b.classes[class], &b.pools[b.of[class]]
+	kb *= max(1, b.set.RunFactor)
+	k.running--
+	k.ranKB -= kb
+	p.running--
+	p.ranKB -= kb
+	b.running--
+	if !ok || elapsed <= 0 {
+		return
+	}
+	full := b.running+b.beside+1 >= b.set.Cores
+	k.learn(now, work)
+	p.rate.add(now)
+	p.limit.end(now, float64(elapsed)/k.base, full && p.running+1 >= p.most, k.base)
+	b.findCheapest()
+}
+
+// Refused counts a request that was turned away while it waited.
+func (b *Book) Refused(class int) { b.pools[b.of[class]].refused++ }
+
+// Beside takes in how many runs of another process share the cores.
+func (b *Book) Beside(now int64, runs int) {
+	b.advance(now)
+	b.beside = max(0, runs)
+}
--- /dev/null
+++ b/internal/pool/pool_test.go
@@ -0,0 +1,330 @@
+package pool
+
+import (
+	"math"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"kiteslip"
+)
+
+const second = 1_000_000
+
+// four is a small broker: three pools on four cores, the last class in none.
+func four() Settings {
+	return Settings{Cores: 4, MemoryKB: 10_000, RunFactor: 4, MaxAdvice: second, CheapReserve: 0.25,
+		Classes: []Class{{second, 4 * second}, {second, 4 * second}, {second, 3 * second}, {second, 4 * second}},
+		Pools: []Spec{
+			{Name: "slow", Classes: []int{0}, Share: 0.3},
+			{Name: "cheap", Classes: []int{2}, Share: 0.4, Reserve: 0.25},
+			{Name: "other", Classes: []int{1}, Share: 0.2, Most: 0.5, MemoryMost: 0.5},
+		}}
+}
+
+func TestSettingsErrorsNameTheKey(t *testing.T) {
+	t.Parallel()
+	s := four()
+	if err := s.Check(); err != nil {
+		t.Fatal(err)
+	}
+	for key, spoil := range map[string]func(*Settings){
+		"cores":                func(s *Settings) { s.Cores = 0 },
+		"memory ":              func(s *Settings) { s.MemoryKB = math.NaN() },
+		"pools.cheap_reserve":  func(s *Settings) { s.CheapReserve = 1.5 },
+		"pool[0].name":         func(s *Settings) { s.Pools[0].Name = Rest },
+		"pool[1].name":         func(s *Settings) { s.Pools[1].Name = "slow" },
+		"pool[0].classes":      func(s *Settings) { s.Pools[0].Classes = nil },
+		"pool[2].classes":      func(s *Settings) { s.Pools[2].Classes = []int{0} },
+		"pool[1].classes":      func(s *Settings) { s.Pools[1].Classes = []int{9} },
+		"pool[0].share":        func(s *Settings) { s.Pools[0].Share = -0.1 },
+		"pool[2].most":         func(s *Settings) { s.Pools[2].Most = 0.1 },
+		"pool[1].reserve":      func(s *Settings) { s.Pools[1].Reserve = math.NaN() },
+		"pool[2].memory_most":  func(s *Settings) { s.Pools[2].MemoryMost = 0.1 },
+		"pool[2].waiting":      func(s *Settings) { s.Pools[2].Waiting = -1 },
+		"pool.share adds up":   func(s *Settings) { s.Pools[0].Share, s.Pools[0].Memory = 0.9, 0.1 },
+		"pool.memory adds up":  func(s *Settings) { s.Pools[0].Memory = 0.9 },
+		"pool is there 65 tim": func(s *Settings) { s.Pools = append(make([]Spec, 62), s.Pools...) },
+	} {
+		s := four()
+		spoil(&s)
+		if err := s.Check(); err == nil || !strings.Contains(err.Error(), key) {
+			t.Errorf("%s: %v", key, err)
+		}
+		if b, err := New(four()); err != nil || b.Set(s) == nil {
+			t.Errorf("%s: a faulty change is taken (%v)", key, err)
+		}
+	}
+}
+
+// one is a request as the model has it.
+type one struct {
+	class int
+	kb    float64
+	mark  float64
+	began int64
+	runs  bool
+}
+
+// Whatever arrives, begins, ends, leaves and is set anew: the book has what
+// there is, no core is left idle by a limit, and all ceilings keep their bounds.
+func TestBookAgainstModel(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		s := four()
+		b, err := New(s)
+		if err != nil {
+			t.Fatal(err)
+		}
+		now := int64(second)
+		var all []one
+		for range rapid.IntRange(1, 120).Draw(t, "steps") {
+			now += rapid.Int64Range(0, second).Draw(t, "dt")
+			pick := func() int { return rapid.IntRange(0, len(all)-1).Draw(t, "which") }
+			switch op := rapid.IntRange(0, 6).Draw(t, "op"); {
+			case op <= 2 || len(all) == 0:
+				o := one{class: rapid.IntRange(0, 3).Draw(t, "class"), kb: float64(rapid.IntRange(1, 64).Draw(t, "kb"))}
+				b.Arrive(now, o.class, o.kb)
+				all = append(all, o)
+			case op == 3:
+				if o := &all[pick()]; !o.runs {
+					o.mark, o.began, o.runs = b.Begin(now, o.class, o.kb), now, true
+				}
+			case op <= 5:
+				i := pick()
+				if o := all[i]; o.runs {
+					b.End(now, o.class, o.kb, o.mark, now-o.began, rapid.Bool().Draw(t, "ok"))
+				} else {
+					b.Leave(now, o.class, o.kb)
+				}
+				all = append(all[:i], all[i+1:]...)
+			default:
+				next := four()
+				next.Pools = next.Pools[rapid.IntRange(0, 2).Draw(t, "dropped"):]
+				if err := b.Set(next); err != nil {
+					t.Fatal(err)
+				}
+				s = next
+			}
+			check(t, b, &s, now, all)
+		}
+	})
+}
+
+func check(t *rapid.T, b *Book, s *Settings, now int64, all []one) {
+	limit := rapid.IntRange(1, 40).Draw(t, "limit")
+	out := b.Ceilings(now, limit)
+	of := map[int]int{}
+	for i, p := range s.Pools {
+		for _, c := range p.Classes {
+			of[c] = i + 1
+		}
+	}
+	running, waiting, total := make([]int, len(s.Pools)+1), make([]int, len(s.Pools)+1), 0
+	kb := make([]float64, len(s.Pools)+1)
+	for _, o := range all {
+		if at := of[o.class]; o.runs {
+			running[at]++
+			total++
+			kb[at] += o.kb * s.RunFactor
+		} else {
+			waiting[at]++
+			kb[at] += o.kb
+		}
+	}
+	if out.Places < s.Cores {
+		t.Fatalf("%d places on %d cores", out.Places, s.Cores)
+	}
+	for i, f := range b.Figures() {
+		c := out.Pools[i]
+		if f.Running != running[i] || f.Waiting != waiting[i] || math.Abs(f.BookedKB-kb[i]) > 1e-6 {
+			t.Fatalf("pool %s: %+v, want %d running, %d waiting, %v KB", f.Name, f, running[i], waiting[i], kb[i])
+		}
+		most := 1.0
+		if i > 0 {
+			most = s.Pools[i-1].most()
+		}
+		idle := min(s.Cores-total, int(math.Ceil(most*float64(limit)))-running[i])
+		if c.Most < 1 || idle > 0 && c.Most < running[i]+idle {
+			t.Fatalf("pool %s may have %d runs, has %d, and %d of %d cores are idle", f.Name, c.Most, running[i], s.Cores-total, s.Cores)
+		}
+		if c.Own < 0 || c.Own > 64 || c.Waiting < 1 || c.MostKB < 0 || c.MostKB > s.MemoryKB || c.OwnKB > c.MostKB+1e-6 ||
+			c.After < 1000 || c.After > s.MaxAdvice || c.Cores < 0 || c.Cores > float64(s.Cores) || math.IsNaN(c.Cores) {
+			t.Fatalf("pool %s: %+v", f.Name, c)
+		}
+		if i > 0 && running[i] == 0 && waiting[i] > 0 && c.Own < int(s.Pools[i-1].Share*float64(s.Cores)) {
+			t.Fatalf("pool %s has %d places of its own, its share is %v of %d", f.Name, c.Own, s.Pools[i-1].Share, s.Cores)
+		}
+	}
+}
+
+// play runs one class at a time on a machine whose cores are shared evenly:
+// keep runs are in hand all along, each of which takes that much work.
+func play(b *Book, now int64, class, keep int, work float64, length int64, watch func(now int64)) int64 {
+	type run struct {
+		mark  float64
+		began int64
+	}
+	var runs []run
+	each := int64(work * max(1, float64(keep)/4))
+	for end := now + length; now < end; now += each / int64(keep) {
+		for len(runs) < keep {
+			b.Arrive(now, class, 1)
+			runs = append(runs, run{b.Begin(now, class, 1), now})
+		}
+		for len(runs) > 0 && now-runs[0].began >= each {
+			b.End(now, class, 1, runs[0].mark, now-runs[0].began, true)
+			runs = runs[1:]
+		}
+		b.Ceilings(now, 40)
+		if watch != nil {
+			watch(now)
+		}
+	}
+	for _, r := range runs {
+		b.End(now, class, 1, r.mark, now-r.began, false)
+	}
+	return now
+}
+
+// A crowd drives the limit to its floor; once it is over the limit is back
+// within seconds, and moves in one direction.
+func TestLimitRecovers(t *testing.T) {
+	t.Parallel()
+	b, err := New(four())
+	if err != nil {
+		t.Fatal(err)
+	}
+	const slow = 1 // the pool's place
+	limit := func() float64 { return b.pools[slow].limit.limit }
+	now := play(b, second, 0, 4, 50_000, 5*second, nil)
+	calm := limit()
+	now = play(b, now, 0, 40, 50_000, 5*second, nil)
+	floor := limit()
+	if floor > 0.6*calm {
+		t.Fatalf("ten runs a core leave the limit at %.1f of %.1f", floor, calm)
+	}
+	back, least, most := int64(0), math.Inf(1), 0.0
+	began := now
+	play(b, now, 0, 4, 50_000, 10*second, func(now int64) {
+		if back == 0 && limit() >= 4 {
+			back = now - began
+		}
+		if now >= began+3*second {
+			least, most = min(least, limit()), max(most, limit())
+		}
+	})
+	if back == 0 || back > 3*second {
+		t.Errorf("the limit is at %.1f; it took %d ms to come back to the cores", limit(), back/1000)
+	}
+	if most > 1.1*least {
+		t.Errorf("the limit swings between %.1f and %.1f once it is back", least, most)
+	}
+}
+
+// Speed that halves for good is a slow machine, not a crowd: the limit is back
+// in seconds though every run takes twice as long.
+func TestLimitFollowsASlowMachine(t *testing.T) {
+	t.Parallel()
+	b, err := New(four())
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := play(b, second, 0, 4, 50_000, 5*second, nil)
+	calm := b.pools[1].limit.limit
+	lowest, noticed := calm, 0.0
+	play(b, now, 0, 4, 100_000, 12*second, func(int64) {
+		lowest, noticed = min(lowest, b.pools[1].limit.limit), max(noticed, b.pools[1].limit.short)
+	})
+	if noticed < tolerated {
+		t.Errorf("runs of twice the time show as %.2f", noticed)
+	}
+	if l := b.pools[1].limit.limit; lowest < 0.6*calm || l < 0.9*calm {
+		t.Errorf("at half the speed the limit falls from %.1f to %.1f and is at %.1f after 12 s", calm, lowest, l)
+	}
+}
+
+// The cheapest class is learned, changes when costs swap places, and not to and
+// fro between classes of like cost.
+func TestCheapestIsLearned(t *testing.T) {
+	t.Parallel()
+	b, err := New(four())
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := play(b, second, 0, 2, 80_000, 3*second, nil)
+	if b.Cheapest() != 0 {
+		t.Errorf("the only class that runs is not the cheapest, but %d", b.Cheapest())
+	}
+	now = play(b, now, 2, 2, 20_000, 3*second, nil)
+	if b.Cheapest() != 2 {
+		t.Errorf("cheapest is %d, want 2", b.Cheapest())
+	}
+	for range 5 { // like costs, in turn
+		now = play(b, now, 1, 2, 19_000, second, nil)
+		now = play(b, now, 2, 2, 21_000, second, nil)
+		if b.Cheapest() != 2 {
+			t.Fatalf("the reserve moved to %d for a tenth", b.Cheapest())
+		}
+	}
+	now = play(b, now, 2, 2, 90_000, 8*second, nil)
+	if b.Cheapest() != 1 {
+		t.Errorf("cheapest is %d after class 2 got dear, want 1", b.Cheapest())
+	}
+	if out := b.Ceilings(now, 8); out.Cheap != 1 || out.CheapSpare != 1 {
+		t.Errorf("the reserve is %d places for class %d", out.CheapSpare, out.Cheap)
+	}
+}
+
+// An hour without work saves up a bounded number of runs.
+func TestCreditIsBounded(t *testing.T) {
+	t.Parallel()
+	b, err := New(four())
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := play(b, second, 2, 2, 50_000, 2*second, nil)
+	b.Arrive(now+3600*second, 2, 1)
+	out := b.Ceilings(now+3600*second, 8)
+	if own := out.Pools[2].Own; own < 2 || float64(own) > 2+creditRuns*4*0.4 {
+		t.Errorf("after an hour %d places are the pool's own", own)
+	}
+	now = play(b, now+3600*second, 2, 8, 50_000, 3*second, nil)
+	b.Arrive(now, 2, 1)
+	if own := b.Ceilings(now, 8).Pools[2].Own; own > 2 {
+		t.Errorf("a pool that owes has %d places of its own", own)
+	}
+}
+
+// Memory that another pool may claim as its own is not given away, and what
+// nobody claims is.
+func TestMemoryIsLent(t *testing.T) {
+	t.Parallel()
+	b, err := New(four())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 70 {
+		b.Arrive(second, 0, 100) // 7,000 of 10,000 KB
+	}
+	out := b.Ceilings(second, 4)
+	if kb := out.Pools[1].MostKB; kb != 10_000 {
+		t.Errorf("alone a pool may book %v KB of 10,000", kb)
+	}
+	b.Arrive(second, 2, 100)
+	out = b.Ceilings(second, 4)
+	if kb := out.Pools[1].MostKB; kb != 6_000 {
+		t.Errorf("beside a pool with a share of 0.4 another may book %v KB, want 6,000", kb)
+	}
+	if kb := out.Pools[2].MostKB; kb < 4_000 {
+		t.Errorf("a pool may book %v KB of its own 4,000", kb)
+	}
+	if kb := out.Pools[3].MostKB; kb > 5_000 {
+		t.Errorf("a pool with a bound of half may book %v KB", kb)
+	}
+	var none kiteslip.Ceiling
+	if out.Pools[0] == none {
+		t.Error("the rest has no ceiling at all")
+	}
+}
--- a/kiteslip.go
+++ b/kiteslip.go
@@ -217,3 +217,24 @@
 	Value  float64
 	Text   string
 }
+
+// Ceiling is what one pool of classes may have in the next batch.
+type Ceiling struct {
+	Own     int     // running places that are its own: filled before all others
+	Most    int     // running places it may have at all
+	Spare   int     // places beyond the running limit, while it has fewer runs than this
+	Waiting int     // held requests it may have
+	Cores   float64 // that its own places amount to: how fast what it holds gets done at the least
+	OwnKB   float64 // memory that is its own: below it arrivals pass the draw
+	MostKB  float64 // memory that it may have booked
+	After   int64   // advice for what it turns away
+}
+
+// Ceilings are those of all pools. The cheapest class, if it is known, has
+// places beyond the limit of its own.
+type Ceilings struct {
+	Of                []int // by class: its pool
+	Pools             []Ceiling
+	Places            int // running places of all pools together
+	Cheap, CheapSpare int // Cheap: -1 = not known
+}
--- a/policy.go
+++ b/policy.go
@@ -153,6 +153,9 @@
 	meanBase, meanAim, leastAim   float64               // over the classes as they are asked for
 	pressure, told                float64               // the wait over its part of an aim; all of patience
 	patience                      [patienceBins]float64 // arrivals by the part of their limit left
+	ceil                          *Ceilings             // of the pools; nil = there are none
+	uses                          []use                 // by pool
+	cheapRuns                     int                   // runs of the cheapest class
 }
 
 // New returns a worker that has just started. It returns an error that names the setting which cannot be
@@ -348,6 +351,15 @@
 			}
 		}
 		p := refuseChance(w.memory, w.top()) // the memory in use holds this arrival already
+		if u, ceil := w.pool(r.class); ceil != nil {
+			if u.held > ceil.Waiting || u.kb > ceil.MostKB {
+				acts = w.refuse(r, ceil.After, false, acts)
+				continue
+			}
+			if u.kb <= ceil.OwnKB && p < 1 { // guards a pool's own memory against a flood that fills the rest
+				p = 0
+			}
+		}
 		draw := p >= 1 || p > 0 && w.rng.Float64() < p
 		noRoom := c.Effect == Keyed && w.memory+w.set.KeyKB > w.top()
 		leaving := w.stop != 0 && (!w.replaced && r.reached > w.drainAt+w.set.DrainGrace ||
@@ -479,34 +491,69 @@
 	// Guards against a few heavy runs that hold all places while others could be done beside them: these run
 	// beyond the limit, and show that the cores get on. It harms where heavy runs crowd the cores already.
 	limit += min(w.heavy, w.set.Cores)
-	for _, i := range w.order {
-		r := &w.reqs[i]
-		if w.onCore >= limit || float64(w.onCore+w.out+1) > crowd {
-			break
-		}
-		if r.phase != held && r.phase != paused || r.head != 0 || r.answered {
-			continue
+	if w.ceil != nil {
+		limit = min(limit, max(1, w.ceil.Places))
+	}
+	for own := w.ceil != nil; ; own = false { // first what pools have of their own
+		owed := 0
+		if own {
+			owed = w.owed(limit)
 		}
-		if r.phase == held {
-			// What runs and then waits for its call too long is lost, and a keyed one for good: it is held.
-			if c := &w.set.Classes[r.class]; w.shared && c.Calls && c.SkipWorth == 0 &&
-				(float64(w.must) >= w.callLimit || w.callNext > w.now+int64(w.base[r.class]*restShare)) {
-				continue
+		for _, i := range w.order {
+			r := &w.reqs[i]
+			if float64(w.onCore+w.out+1) > crowd || own && owed <= 0 || !own && w.onCore >= limit {
+				break
 			}
-			more := r.size * (w.set.RunFactor - 1)
-			if w.memory+more > w.top() && w.inHand > 0 || w.memory+more > w.set.MemoryKB {
+			if r.phase != held && r.phase != paused || r.head != 0 || r.answered || !w.fits(r, own, limit) {
 				continue
 			}
-			w.memory += more
-			w.inHand++
+			if r.phase == held {
+				// What runs and then waits for its call too long is lost, and a keyed one for good: it is held.
+				if c := &w.set.Classes[r.class]; w.shared && c.Calls && c.SkipWorth == 0 &&
+					(float64(w.must) >= w.callLimit || w.callNext > w.now+int64(w.base[r.class]*restShare)) {
+					continue
+				}
+				more := r.size * (w.set.RunFactor - 1)
+				if w.memory+more > w.top() && w.inHand > 0 || w.memory+more > w.set.MemoryKB {
+					continue
+				}
+				w.memory += more
+				w.inHand++
+			}
+			owed--
+			r.ran = true
+			w.onto(r)
+			w.onCore++
+			if u, _ := w.pool(r.class); u != nil {
+				u.running, u.held = u.running+1, u.held-1
+				if r.class == w.ceil.Cheap {
+					w.cheapRuns++
+				}
+			}
+			acts = append(acts, Action{Kind: Run, ID: r.id})
+			acts = w.copies(r, acts)
+		}
+		if !own {
+			return acts
 		}
-		r.ran = true
-		w.onto(r)
-		w.onCore++
-		acts = append(acts, Action{Kind: Run, ID: r.id})
-		acts = w.copies(r, acts)
 	}
-	return acts
+}
+
+// fits says whether the pool of r has a place for it: one of its own, beyond the limit too where it has some
+// to spare, or any below its most.
+func (w *Worker) fits(r *request, own bool, limit int) bool {
+	u, c := w.pool(r.class)
+	switch {
+	case c == nil:
+		return true
+	case !own:
+		return u.running < c.Most
+	}
+	spare := 0
+	if r.class == w.ceil.Cheap {
+		spare = w.ceil.CheapSpare
+	}
+	return w.onCore < limit+spare && u.running < c.Own || u.running < c.Spare || w.cheapRuns < spare
 }
 
 // Hold order.
@@ -548,10 +595,12 @@
 }
 
 // better orders two requests: the denser first, then the earlier aim; while the wait is too long the newest:
-// in turn all would be just in time here, too late for those with earlier tries.
+// in turn all would be just in time here, too late for those with earlier tries. A pool that can start all it
+// holds in places of its own has no such wait.
 func (w *Worker) better(a, b int) int {
 	x, y := &w.reqs[a], &w.reqs[b]
-	if dense := cmp.Compare(y.density, x.density); dense != 0 || w.pressure <= 1 {
+	if dense := cmp.Compare(y.density, x.density); dense != 0 || w.pressure <= 1 ||
+		w.ceil != nil && w.uses[w.ceil.Of[x.class]].light {
 		return cmp.Or(dense, cmp.Compare(x.aim, y.aim), cmp.Compare(x.id, y.id))
 	}
 	return cmp.Or(cmp.Compare(y.aim, x.aim), cmp.Compare(x.id, y.id))
@@ -590,6 +639,9 @@
 				w.heavy++
 			}
 			ahead += max(b-done, b*restShare)
+			if u, _ := w.pool(r.class); u != nil {
+				u.ahead += max(b-done, b*restShare)
+			}
 		}
 	}
 	slices.SortFunc(w.order, w.better)
@@ -604,6 +656,10 @@
 			hope = r.hope
 			begin = max(0, ahead/cores-w.meanBase/2)
 		}
+		u, ceil := w.pool(r.class)
+		if ceil != nil && ceil.Cores > 0 { // what is a pool's own does not wait behind others
+			begin = min(begin, u.ahead/ceil.Cores)
+		}
 		c := &w.set.Classes[r.class]
 		finish := w.now + int64(begin+b*runAllowance+w.wait[r.class])
 		aim := min(hope, w.end(r))
@@ -619,6 +675,9 @@
 		}
 		tail = max(tail, begin)
 		ahead += b
+		if u != nil {
+			u.ahead += b
+		}
 		kept = append(kept, i)
 	}
 	w.pressure = max((tail+w.unread)/(holdAim*w.meanAim), w.unread/(unreadAim*w.leastAim))
@@ -812,6 +871,9 @@
 	was := r.phase
 	r.phase = over
 	w.memory -= r.size
+	if u, _ := w.pool(r.class); u != nil && was == held {
+		u.held, u.kb = u.held-1, u.kb-r.size
+	}
 	if was != held || r.ran || !r.kept {
 		return acts
 	}
--- a/policy_test.go
+++ b/policy_test.go
@@ -1182,3 +1182,56 @@
 		}
 	}
 }
+
+// The ceilings of pools hold: a pool's own places come before worth, its most
+// is not passed, the reserve lies beyond the limit, and what waits has a bound.
+func TestCeilings(t *testing.T) {
+	t.Parallel()
+	s := settings()
+	s.Below, s.Classes[0].Calls, s.Classes[1].Calls, s.CrowdMultiple, s.ColdFrom = 0, false, false, 0, 0
+	play := func(c *Ceilings, classes ...int) (runs, refused []int) {
+		w, err := New(s, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		w.Ceil(c)
+		var events []Event
+		for i, class := range classes {
+			events = append(events, Event{Kind: Arrive, ID: RequestID(i + 1), Class: class, SizeKB: 10, Deadline: 1_800_000})
+		}
+		for _, a := range w.Step(1, events, nil) {
+			switch a.Kind {
+			case Run:
+				runs = append(runs, classes[a.ID-1])
+			case Refuse:
+				refused = append(refused, classes[a.ID-1])
+			}
+		}
+		return runs, refused
+	}
+	open := Ceiling{Most: 9, Waiting: 9, OwnKB: 1e4, MostKB: 1e4, Cores: 2}
+	with := func(f func(a, b *Ceiling, c *Ceilings)) *Ceilings {
+		c := &Ceilings{Of: []int{0, 1, 0}, Pools: []Ceiling{open, open}, Places: 2, Cheap: -1}
+		f(&c.Pools[0], &c.Pools[1], c)
+		return c
+	}
+	dear, cheap := []int{0, 0, 1, 1, 1}, []int{1, 1}
+	for name, c := range map[string]struct {
+		ceil       *Ceilings
+		runs, away []int
+	}{
+		"none":       {nil, cheap, nil},
+		"no bounds":  {with(func(a, b *Ceiling, c *Ceilings) {}), cheap, nil},
+		"own places": {with(func(a, b *Ceiling, c *Ceilings) { a.Own = 1 }), []int{0, 1}, nil},
+		"most":       {with(func(a, b *Ceiling, c *Ceilings) { b.Most = 1 }), []int{1, 0}, nil},
+		"spare":      {with(func(a, b *Ceiling, c *Ceilings) { a.Spare = 1 }), []int{0, 1}, nil},
+		"cheap":      {with(func(a, b *Ceiling, c *Ceilings) { c.Cheap, c.CheapSpare, a.Own, b.Own = 0, 1, 1, 2 }), []int{1, 1, 0}, nil},
+		"places":     {with(func(a, b *Ceiling, c *Ceilings) { c.Places = 1 }), []int{1}, nil},
+		"waiting":    {with(func(a, b *Ceiling, c *Ceilings) { b.Waiting = 2 }), cheap, []int{1}},
+		"memory":     {with(func(a, b *Ceiling, c *Ceilings) { a.MostKB = 15 }), cheap, []int{0}},
+	} {
+		if runs, away := play(c.ceil, dear...); !slices.Equal(runs, c.runs) || !slices.Equal(away, c.away) {
+			t.Errorf("%s: runs %v, refuses %v; want %v, %v", name, runs, away, c.runs, c.away)
+		}
+	}
+}
--- a/state.go
+++ b/state.go
@@ -52,6 +52,56 @@
 	w.set.JustStarted, w.born = cold, max(since, 0)
 }
 
+// use is what a pool has in hand.
+type use struct {
+	running, held int
+	kb, ahead     float64 // memory booked; work that is ahead of the next one in the hold
+	light         bool    // all that it holds could start in places of its own
+}
+
+// Ceil hands in the ceilings of the pools for the batches that follow; nil =
+// there are none. They must name a pool for each class.
+func (w *Worker) Ceil(c *Ceilings) {
+	w.ceil = c
+	if c == nil {
+		w.uses = nil
+	} else if len(w.uses) != len(c.Pools) {
+		w.uses = make([]use, len(c.Pools))
+	}
+}
+
+// Limit is how many requests may run by the running limit now.
+func (w *Worker) Limit() int { return w.limit }
+
+// pool returns what the pool of a class has and may have; nil = there are no pools.
+func (w *Worker) pool(class int) (*use, *Ceiling) {
+	if w.ceil == nil {
+		return nil, nil
+	}
+	at := w.ceil.Of[class]
+	return &w.uses[at], &w.ceil.Pools[at]
+}
+
+// owed is how many held requests may start in places of their pools' own, or beyond the limit.
+func (w *Worker) owed(limit int) int {
+	n := 0
+	for i := range w.uses {
+		u, c := &w.uses[i], &w.ceil.Pools[i]
+		n += max(0, min(u.held, c.Own-u.running))
+	}
+	n = min(n, max(0, limit-w.onCore))
+	for i := range w.uses {
+		u, c := &w.uses[i], &w.ceil.Pools[i]
+		n += max(0, min(u.held, c.Spare-u.running))
+	}
+	if w.ceil.Cheap >= 0 {
+		u, c := w.pool(w.ceil.Cheap)
+		room := min(limit+w.ceil.CheapSpare-w.onCore, c.Own-u.running)
+		n += max(0, min(u.held, max(room, w.ceil.CheapSpare-w.cheapRuns)))
+	}
+	return n
+}
+
 // Retune takes over new settings. Classes and tenants keep their places, new
 // ones follow; what was learned stays. On an error nothing has changed.
 func (w *Worker) Retune(s Settings) error {
@@ -107,11 +157,18 @@
 // count adds up what is in hand. It is done anew for each batch, so that no error can build up.
 func (w *Worker) count() {
 	w.onCore, w.inHand, w.atCalls, w.out, w.memory = w.besideRuns, w.besideRuns, 0, 0, w.besideKB
+	clear(w.uses)
+	w.cheapRuns = 0
 	for i := range w.reqs {
 		r := &w.reqs[i]
+		u, _ := w.pool(r.class)
 		switch r.phase {
 		case held, copying:
 			w.memory += r.size
+			if u != nil && r.phase == held {
+				u.held++
+				u.kb += r.size
+			}
 			continue
 		case over:
 			continue
@@ -124,6 +181,17 @@
 		}
 		w.inHand++
 		w.memory += r.size * w.set.RunFactor
+		if u != nil {
+			u.running++
+			u.kb += r.size * w.set.RunFactor
+			if r.class == w.ceil.Cheap {
+				w.cheapRuns++
+			}
+		}
+	}
+	for i := range w.uses {
+		u := &w.uses[i]
+		u.light = u.held+u.running <= w.ceil.Pools[i].Own
 	}
 	w.memory += float64(len(w.table)) * w.set.KeyKB
 }
