--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # build, test, lint and run; see README.md.
 VERSION := $(shell git describe --always --dirty 2>/dev/null || echo development)
 
-.PHONY: build test lint run
+.PHONY: build test lint run measure-pools measure-door
 
 build:
 	mkdir -p bin
@@ -11,10 +11,23 @@
 # RAPID_SEED=0 takes a new one, RAPID_CHECKS=10000 walks longer.
 export RAPID_SEED ?= 20261201
 
-# The module and the parsers as they are; all that touches sockets with the race detector.
+# Decisions and parsers as they are; all that touches sockets with the race detector.
+PLAIN = . ./cmd/simhost/... ./internal/wire/... ./internal/config/... ./internal/frame/... ./internal/uwsgi/... \
+	./internal/ops/... ./internal/figures/... ./internal/pool/... ./internal/lab/...
+RACED = ./cmd/kiteslip/... ./cmd/kitelab/... ./internal/core/... ./internal/engine/... ./internal/registry/... ./internal/handover/... \
+	./internal/server/... ./internal/pcap/... ./internal/replay/... ./internal/standin/...
+
 test:
-	go test . ./cmd/simhost/... ./internal/wire/... ./internal/config/... ./internal/frame/... ./internal/uwsgi/... ./internal/ops/... ./internal/figures/...
-	go test -race ./cmd/kiteslip/... ./internal/core/... ./internal/engine/... ./internal/registry/... ./internal/handover/... ./internal/server/... ./internal/pcap/... ./internal/replay/...
+	go test $(PLAIN)
+	go test -race $(RACED)
+
+# Measurements with fixed seeds: the last line has the figures, and a figure
+# that falls short ends them with 1.
+measure-pools: build
+	bin/kitelab pools
+
+measure-door: build
+	bin/kitelab door
 
 lint:
 	@test -z "$$(gofmt -l .)" || { gofmt -l .; exit 1; }
--- /dev/null
+++ b/cmd/kitelab/door.go
@@ -0,0 +1,316 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"kiteslip/internal/frame"
+	"kiteslip/internal/standin/box"
+)
+
+type doorCmd struct {
+	Program     string        `default:"bin/kiteslip" help:"The program that is measured."`
+	Connections int           `default:"1000" help:"Connections."`
+	Deep        int           `default:"32" help:"Requests that each keeps open."`
+	For         time.Duration `default:"8s" help:"How long they ask."`
+	Limit       time.Duration `default:"4s" help:"How long each request waits."`
+	Least       float64       `default:"0.8" help:"The least served connection's part of the median."`
+}
+
+// slackMS is how late an answer may be by the platform's rules.
+const slackMS = 60
+
+func (c *doorCmd) Run() error {
+	early, err := c.play(0)
+	if err != nil {
+		return err
+	}
+	settled, err := c.play(time.Second)
+	if err != nil {
+		return err
+	}
+	fmt.Println("asking from the start: ", early)
+	fmt.Println("asking 1 s after it:   ", settled)
+	var v verdict
+	v.want(early.late == 0, "%d answers came after their due time", early.late)
+	v.want(early.unanswered == 0, "%d requests had no answer", early.unanswered)
+	share := float64(early.least) / float64(max(1, early.median))
+	v.want(share >= c.Least, "the least served connection got %.2f of the median, want %.2f", share, c.Least)
+	return v.end(fmt.Sprintf("door: late=%d least_share=%.3f slowest_ms=%d refused=%.4f cpu_us=%.1f settled_cpu_us=%.1f",
+		early.late, share, early.slowest, early.refused, early.cpu, settled.cpu))
+}
+
+// doorRound is one round's outcome.
+type doorRound struct {
+	answers, late, unanswered int64
+	least, median, most       int64
+	slowest                   int64 // ms
+	p99                       int64
+	refused                   float64
+	cpu                       float64 // microseconds for a request
+}
+
+func (r doorRound) String() string {
+	return fmt.Sprintf("%d answers, %.1f%% refused, %d late; by connection least %d, median %d, most %d; 99th %d ms, slowest %d ms; %.1f us of processor time a request",
+		r.answers, 100*r.refused, r.late, r.least, r.median, r.most, r.p99, r.slowest, r.cpu)
+}
+
+// doorSettings are those of a server whose engine is never short.
+func (c *doorCmd) settings(listen, engine string) ([]byte, error) {
+	return json.Marshal(map[string]any{
+		"name": "door", "listen": listen, "engine": engine, "seed": "1", "stop_ms": 2000,
+		"limits": map[string]any{"cores": 1, "memory_mb": 512, "sockets": 2*c.Connections + 128},
+		"settings": map[string]any{
+			"classes": []any{map[string]any{"name": "look", "effect": "repeatable", "on_time_us": c.Limit.Microseconds() / 2,
+				"hard_limit_us": c.Limit.Microseconds(), "worth": 1}},
+			"tenants": []any{map[string]any{"name": "red", "quota_per_s": 1e9}},
+			"family_info": map[string]any{"cores": 4096, "memory_kb": 4_000_000, "blowup": 4, "key_kb": 8, "idle_us": 60_000_000,
+				"callers": 4, "gauges": []string{"cpu_busy", "runnable"}},
+			"rules": map[string]any{"answer_slack_us": 60_000, "drain_grace_us": 2_000_000},
+			"goal":  map[string]any{"whole": 1}, "tick_us": 4000, "group_size": 1,
+		},
+	})
+}
+
+func freeAddress() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+// play starts the program and lets all connections ask, so long after they stand.
+func (c *doorCmd) play(settle time.Duration) (r doorRound, err error) {
+	engine, err := box.Serve(box.Spec{Cores: 4096})
+	if err != nil {
+		return r, err
+	}
+	defer engine.Close()
+	listen, err := freeAddress()
+	if err != nil {
+		return r, err
+	}
+	text, err := c.settings(listen, engine.Address)
+	if err != nil {
+		return r, err
+	}
+	dir, err := os.MkdirTemp("", "kitelab")
+	if err != nil {
+		return r, err
+	}
+	defer os.RemoveAll(dir)
+	file := filepath.Join(dir, "config.json")
+	if err = os.WriteFile(file, text, 0o600); err != nil {
+		return r, err
+	}
+	program := exec.Command(c.Program, "serve", "--log-level", "error")
+	program.Env = append(os.Environ(), "EDGE_CONFIG="+file, "TMPDIR="+dir)
+	program.Stderr = os.Stderr
+	if err = program.Start(); err != nil {
+		return r, err
+	}
+	defer func() {
+		program.Process.Signal(syscall.SIGTERM) //nolint:errcheck // it may have ended
+		program.Wait()                          //nolint:errcheck // its answers were counted
+	}()
+	if err = await(listen); err != nil {
+		return r, err
+	}
+	return c.ask(listen, settle, program)
+}
+
+// await waits until the program takes connections.
+func await(address string) error {
+	var err error
+	for range 500 {
+		var conn net.Conn
+		if conn, err = net.Dial("tcp", address); err == nil {
+			conn.Close()
+			return nil
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return fmt.Errorf("the program does not listen: %w", err)
+}
+
+func (c *doorCmd) ask(address string, settle time.Duration, program *exec.Cmd) (r doorRound, err error) {
+	counts := make([]int64, c.Connections)
+	var refused, unanswered atomic.Int64
+	var mu sync.Mutex
+	times := hdrhistogram.New(1, 60_000_000, 3)
+	var all sync.WaitGroup
+	errs := make(chan error, c.Connections)
+	began := time.Now()
+	for i := range c.Connections {
+		all.Go(func() {
+			k := asker{c: c, i: i, end: began.Add(settle + c.For), times: hdrhistogram.New(1, 60_000_000, 2)}
+			if err := k.run(address, settle); err != nil {
+				errs <- err
+			}
+			counts[i] = k.answers
+			refused.Add(k.refused)
+			unanswered.Add(int64(len(k.sent)))
+			mu.Lock()
+			times.Merge(k.times)
+			mu.Unlock()
+		})
+	}
+	all.Wait()
+	select {
+	case err := <-errs:
+		return r, err
+	default:
+	}
+	cpu, err := processorTime(program.Process.Pid)
+	if err != nil {
+		return r, err
+	}
+	for _, n := range counts {
+		r.answers += n
+	}
+	slices.Sort(counts)
+	r.least, r.median, r.most = counts[0], counts[len(counts)/2], counts[len(counts)-1]
+	r.unanswered = unanswered.Load()
+	r.refused = float64(refused.Load()) / float64(max(1, r.answers))
+	r.cpu = float64(cpu.Microseconds()) / float64(max(1, r.answers))
+	r.slowest, r.p99 = times.Max()/1000, times.ValueAtQuantile(99)/1000
+	most := c.Limit.Milliseconds() + slackMS
+	for _, bar := range times.Distribution() {
+		if bar.From/1000 > most {
+			r.late += bar.Count
+		}
+	}
+	return r, nil
+}
+
+// asker is one connection that keeps its requests open.
+type asker struct {
+	c                *doorCmd
+	i                int
+	end              time.Time
+	stream           uint32
+	sent             map[uint32]time.Time
+	answers, refused int64
+	times            *hdrhistogram.Histogram
+}
+
+func (k *asker) run(address string, settle time.Duration) error {
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	time.Sleep(settle)
+	conn.SetDeadline(k.end.Add(k.c.Limit + 2*time.Second)) //nolint:errcheck // a TCP connection takes it
+	k.sent = map[uint32]time.Time{}
+	var out []byte
+	for range k.c.Deep {
+		out = k.request(out)
+	}
+	if _, err = conn.Write(out); err != nil {
+		return err
+	}
+	buf := make([]byte, 0, 64<<10)
+	for len(k.sent) > 0 {
+		n, err := conn.Read(buf[len(buf):cap(buf)])
+		if err != nil {
+			if err == io.EOF || os.IsTimeout(err) {
+				return nil // what has no answer is counted
+			}
+			return err
+		}
+		buf = buf[:len(buf)+n]
+		out = out[:0]
+		used := 0
+		for {
+			f, n, err := frame.Split(buf[used:])
+			if err != nil {
+				return err
+			}
+			if n == 0 {
+				break
+			}
+			used += n
+			if f.Type == frame.Answer {
+				out = k.answer(f, out)
+			}
+		}
+		buf = buf[:copy(buf, buf[used:])]
+		if len(out) > 0 {
+			if _, err = conn.Write(out); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (k *asker) answer(f frame.Frame, out []byte) []byte {
+	at, open := k.sent[f.Stream]
+	if !open || len(f.Payload) == 0 {
+		return out
+	}
+	delete(k.sent, f.Stream)
+	k.answers++
+	if f.Payload[0] != frame.Served {
+		k.refused++
+	}
+	k.times.RecordValue(max(1, time.Since(at).Microseconds())) //nolint:errcheck // it lies within the bounds
+	if time.Now().Before(k.end) {
+		out = k.request(out)
+	}
+	return out
+}
+
+func (k *asker) request(out []byte) []byte {
+	k.stream++
+	now := time.Now()
+	k.sent[k.stream] = now
+	return frame.AppendRequest(out, k.stream, []frame.Field{
+		{Name: "kind", Value: "look"}, {Name: "owner", Value: "red"},
+		{Name: "req", Value: fmt.Sprintf("%08x%08x", k.i, k.stream)}, {Name: "via", Value: "1"},
+		{Name: "ts", Value: strconv.FormatInt(now.UnixMilli(), 10)},
+		{Name: "timeout", Value: strconv.FormatInt(k.c.Limit.Milliseconds(), 10)},
+		{Name: "ms", Value: "1.0"}, {Name: "need", Value: "16"}, {Name: "level", Value: "0.5"},
+	}, []byte("b"))
+}
+
+// processorTime is what a process has used so far, as the system counts it.
+func processorTime(pid int) (time.Duration, error) {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0, err
+	}
+	// After the name in brackets: state is the first field, utime the 12th, stime the 13th.
+	end := slices.Index(text, ')')
+	if end < 0 {
+		return 0, fmt.Errorf("/proc/%d/stat is not understood", pid)
+	}
+	var state string
+	var skip [10]int64
+	var user, system int64
+	args := []any{&state}
+	for i := range skip {
+		args = append(args, &skip[i])
+	}
+	if _, err = fmt.Sscan(string(text[end+1:]), append(args, &user, &system)...); err != nil {
+		return 0, fmt.Errorf("/proc/%d/stat: %w", pid, err)
+	}
+	const ticks = 100 // a second, on all systems that the program runs on
+	return time.Duration(user+system) * time.Second / ticks, nil
+}
--- /dev/null
+++ b/cmd/kitelab/main.go
@@ -0,0 +1,51 @@
+// Command kitelab measures what kiteslip promises: each sub-command plays one
+// measurement with fixed seeds, prints its figures and ends with 1 if one of
+// them falls short.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/alecthomas/kong"
+)
+
+type cli struct {
+	Pools poolsCmd `cmd:"" help:"Class pools against none, in simulated time."`
+	Door  doorCmd  `cmd:"" help:"A thousand connections that ask from the start, against the real program."`
+}
+
+// errShort says that a figure falls short of what is promised.
+var errShort = errors.New("a figure falls short")
+
+// verdict gathers what falls short.
+type verdict []string
+
+func (v *verdict) want(ok bool, format string, args ...any) {
+	if !ok {
+		*v = append(*v, fmt.Sprintf(format, args...))
+	}
+}
+
+// end prints what falls short, then the closing line.
+func (v verdict) end(line string) error {
+	for _, s := range v {
+		fmt.Println("short:", s)
+	}
+	fmt.Println(line)
+	if len(v) > 0 {
+		return errShort
+	}
+	return nil
+}
+
+func main() {
+	ctx := kong.Parse(&cli{}, kong.Name("kitelab"), kong.UsageOnError(), kong.Description("Measurements of kiteslip."))
+	if err := ctx.Run(); err != nil {
+		if !errors.Is(err, errShort) {
+			fmt.Fprintln(os.Stderr, "kitelab:", err)
+		}
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/cmd/kitelab/pools.go
@@ -0,0 +1,83 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"sync"
+	"text/tabwriter"
+
+	"kiteslip/internal/lab"
+)
+
+type poolsCmd struct {
+	Seeds int `default:"10" help:"Days of each scenario."`
+}
+
+// The promises.
+const (
+	cheapFull   = 0.98
+	cheapHalved = 0.95
+	cheapSlow   = 0.95
+	worthLeast  = 0.98
+	keptLeast   = 0.90
+	lentLeast   = 0.97
+	costMost    = 1.10
+)
+
+func (c *poolsCmd) Run() error {
+	scenarios := lab.PoolScenarios()
+	list := make([]lab.Compared, 2*len(scenarios))
+	errs := make([]error, len(list))
+	var all sync.WaitGroup
+	for i := range list {
+		all.Go(func() { list[i], errs[i] = lab.Compare(scenarios[i/2], i%2 == 1, c.Seeds) })
+	}
+	all.Wait()
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "day\tgauges\tlandmark off\ton (worst)\tworth off\ton (mean)\tratio (worst)\tdone\tothers keep\t")
+	var v verdict
+	worst := map[string]*lab.Compared{}
+	for i := range list {
+		if errs[i] != nil {
+			return errs[i]
+		}
+		r := &list[i]
+		fmt.Fprintf(w, "%s\t%v\t%.3f\t%.3f\t%.4f\t%.4f\t%.4f\t%.3f\t%.3f\t\n", r.Name, r.Gauges, r.CheapOff, r.CheapOn,
+			r.WorthOff, r.WorthOn, r.Worth, r.Done, r.Kept)
+		v.want(r.Overdue == 0, "%s: %d answers after their due time", r.Name, r.Overdue)
+		if o := worst[r.Name]; o == nil {
+			copied := *r
+			worst[r.Name] = &copied
+		} else {
+			o.CheapOff, o.CheapOn = min(o.CheapOff, r.CheapOff), min(o.CheapOn, r.CheapOn)
+			o.Worth, o.Done, o.Kept = min(o.Worth, r.Worth), min(o.Done, r.Done), min(o.Kept, r.Kept)
+		}
+	}
+	w.Flush()
+	for name, least := range map[string]float64{"full": cheapFull, "halved": cheapHalved, "slow-flood": cheapSlow} {
+		r := worst[name]
+		v.want(r.CheapOn >= least, "%s: landmark-search in time %.3f, want %.2f", name, r.CheapOn, least)
+		v.want(r.Worth >= worthLeast, "%s: worth %.3f of that without pools, want %.2f", name, r.Worth, worthLeast)
+	}
+	v.want(worst["calm"].Worth >= 1, "calm: worth %.4f of that without pools, want 1", worst["calm"].Worth)
+	flood := worst["cheap-flood"].Kept
+	v.want(flood >= keptLeast, "cheap-flood: others keep %.3f of what their share carries, want %.2f", flood, keptLeast)
+	lent := 2.0
+	for _, name := range lab.ClassNames {
+		lent = min(lent, worst["alone-"+name].Done)
+	}
+	v.want(lent >= lentLeast, "one class alone gets %.3f done of what it does without pools, want %.2f", lent, lentLeast)
+	cost := 0.0
+	for _, open := range []int{100, 2000} {
+		ratio, off, on, err := lab.CostRatio(open, 3_000_000/open, 15)
+		if err != nil {
+			return err
+		}
+		fmt.Printf("a decision with %d open: %v without pools, %v with, ratio %.3f\n", open, off, on, ratio)
+		v.want(ratio <= costMost, "a decision with %d open costs %.3f, want %.2f at most", open, ratio, costMost)
+		cost = max(cost, ratio)
+	}
+	return v.end(fmt.Sprintf("pools: full=%.3f halved=%.3f slow_flood=%.3f worth=%.3f calm=%.4f flood_kept=%.3f lent=%.3f cost=%.3f",
+		worst["full"].CheapOn, worst["halved"].CheapOn, worst["slow-flood"].CheapOn,
+		min(worst["full"].Worth, worst["halved"].Worth, worst["slow-flood"].Worth), worst["calm"].Worth, flood, lent, cost))
+}
