--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -59,6 +59,9 @@
 	// What a file that came before had and this one has not, see Succeed.
 	ClassesOff, TenantsOff []bool
 
+	Pools        []Pool
+	CheapReserve float64
+
 	UWSGI      UWSGI
 	Backends   []string // by class: the uwsgi server that does the work; "" = the engine
 	MaxResults []int    // by class, bytes
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -123,6 +123,11 @@
 		{"aim_ms = 300", "aim_ms = 901", "contract[0].aim_ms"}, {"deadline_ms = 900", "deadline_ms = -1", "contract[0].deadline_ms"},
 		{"window_ms = 2000", "window_ms = 100", "contract[0].window_ms"}, {"late_worth = 0.5", "late_worth = 2.0", "contract[0].late_worth"},
 		{"max_body = 4096", "max_body = -1", "contract[0].max_body"}, {"held_kb = 32", "held_kb = 1", "contract[0].held_kb"},
+		{"held_kb = 32\n", "held_kb = 32\n[pools]\ncheap_reserve = 0.5\n", "pools.cheap_reserve"},
+		{"held_kb = 32\n", "held_kb = 32\n[[pool]]\nname = \"p\"\nclasses = [\"paint\"]\n", `pool[0].classes has "paint"`},
+		{"held_kb = 32\n", "held_kb = 32\n[[pool]]\nname = \"p\"\nclasses = [\"draw\"]\n[[pool]]\nname = \"q\"\nclasses = [\"draw\"]\n", `pool[1].classes has "draw", which is in pool "p"`},
+		{"held_kb = 32\n", "held_kb = 32\n[[pool]]\nname = \"p\"\nclasses = [\"draw\"]\nshare = 2.0\n", "pool[0].share"},
+		{"held_kb = 32\n", "held_kb = 32\n[[pool]]\nname = \"p\"\nclasses = [\"draw\"]\nshares = 0.2\n", "pool.shares"},
 		{`name = "maps"`, "", "service[0].name"}, {"worth = 3.0", `worth = "much"`, "worth"},
 	} {
 		_, err := ParseOperator(strings.Replace(machine+operator, c.old, c.new, 1), nil)
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -20,6 +20,8 @@
 	Machine  *Machine  `toml:"machine"`
 	Teams    []Team    `toml:"team"`
 	Services []Service `toml:"service"`
+	Pool     []Pool    `toml:"pool"`
+	Pools    Pools     `toml:"pools"`
 }
 
 // Front sets up the uwsgi front. Without an address it is off.
@@ -135,6 +137,7 @@
 	}
 	o.teams(c, &errs)
 	o.services(c, &errs)
+	o.pools(c, &errs)
 	if len(errs) == 0 {
 		if _, err := kiteslip.New(c.Module, 0); err != nil {
 			errs = append(errs, err)
--- a/internal/figures/figures.go
+++ b/internal/figures/figures.go
@@ -13,12 +13,25 @@
 	OK, Shed, Errors int // served, refused, failed
 }
 
+// Pool is one pool of classes at one moment.
+type Pool struct {
+	Name                    string
+	Limit, Running, Waiting int
+	Own, Borrowed, Lent     int // places of its own; runs beyond them; those left to others
+	Saved                   int // runs saved up
+	MayWait                 int
+	Refused                 int // since the start
+	BookedKB                int
+	Cheapest                bool // the reserve for the cheapest class is here
+}
+
 // Figures are those of one moment.
 type Figures struct {
 	Classes           []Class
 	Tries             int // runs handed to an engine or a backend
 	Active            int // requests taken and not yet ended
 	Applied, Rejected int // configuration files at SIGHUP
+	Pools             []Pool
 }
 
 const prefix = "app."
@@ -39,8 +52,30 @@
 	line("active", f.Active, "g")
 	line("config_applied", f.Applied, "c")
 	line("config_rejected", f.Rejected, "c")
+	for i := range f.Pools {
+		f.Pools[i].append(line)
+	}
 	return b
 }
 
 // clean takes out of a name what means something in a line of figures.
 var clean = strings.NewReplacer(":", "_", "|", "_", " ", "_", "\n", "_", "\r", "_", "@", "_", "#", "_")
+
+func (p *Pool) append(line func(name string, value int, kind string)) {
+	name := "pool." + clean.Replace(p.Name) + "."
+	line(name+"limit", p.Limit, "g")
+	line(name+"running", p.Running, "g")
+	line(name+"waiting", p.Waiting, "g")
+	line(name+"may_wait", p.MayWait, "g")
+	line(name+"own", p.Own, "g")
+	line(name+"borrowed", p.Borrowed, "g")
+	line(name+"lent", p.Lent, "g")
+	line(name+"saved", p.Saved, "g")
+	line(name+"booked_kb", p.BookedKB, "g")
+	cheapest := 0
+	if p.Cheapest {
+		cheapest = 1
+	}
+	line(name+"cheapest", cheapest, "g")
+	line(name+"refused", p.Refused, "c")
+}
--- a/internal/server/reload.go
+++ b/internal/server/reload.go
@@ -35,7 +35,7 @@
 	was := s.cfg
 	merged, kept, err := was.Succeed(next)
 	if err == nil {
-		err = s.core.Retune(merged.Module, merged.ClassesOff)
+		err = s.core.Retune(merged.Module, merged.ClassesOff, merged.PoolSettings())
 	}
 	if err != nil {
 		s.turnDown(err)
--- a/internal/server/reload_test.go
+++ b/internal/server/reload_test.go
@@ -85,10 +85,21 @@
 
 // hup gives the server a file and waits until it has taken it or turned it down.
 func (r *running) hup(t *testing.T, text string) (applied bool) {
+	t.Helper()
+	return r.hupFrom(t, func() (*config.Config, error) { return config.Parse([]byte(text), func(string) string { return "" }) })
+}
+
+// hupOperator does the same with an operator's file over the same platform file.
+func (r *running) hupOperator(t *testing.T, engine, text string) (applied bool) {
+	t.Helper()
+	return r.hupFrom(t, func() (*config.Config, error) { return config.ParseOperator(text, platform(t, engine, "")) })
+}
+
+func (r *running) hupFrom(t *testing.T, read func() (*config.Config, error)) (applied bool) {
 	t.Helper()
 	was, no := 0, 0
 	r.look(func() { was, no = r.applied, r.rejected })
-	r.Reload = func() (*config.Config, error) { return config.Parse([]byte(text), func(string) string { return "" }) }
+	r.Reload = read
 	r.signals <- syscall.SIGHUP
 	r.eventually(t, "the file is read", func() bool { return r.applied+r.rejected > was+no })
 	r.look(func() { applied = r.applied > was })
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -150,7 +150,7 @@
 	s.name()
 	var err error
 	s.core, err = core.New(core.Settings{
-		Module: cfg.Module, Seed: cfg.Seed,
+		Module: cfg.Module, Seed: cfg.Seed, Pools: cfg.PoolSettings(),
 		Log: func(line string) { log.Info("module", zap.String("says", line)) },
 	}, s)
 	if err != nil {
