--- /dev/null
+++ b/cmd/kiteslip/keys.go
@@ -0,0 +1,125 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"kiteslip"
+	"kiteslip/internal/keystore"
+)
+
+// keysCmd is kiteslip keys. All of it refuses a folder that a server uses.
+type keysCmd struct {
+	Stat    keysStat    `cmd:"" help:"Say how many keys there are, and when the folder was last in use."`
+	Verify  keysVerify  `cmd:"" help:"Read every record; end with 1 if one is damaged."`
+	Dump    keysDump    `cmd:"" help:"Print the records, a JSON line for each."`
+	Compact keysCompact `cmd:"" help:"Forget keys whose window has ended, and give their space back."`
+}
+
+type keysFolder struct {
+	Folder string `arg:"" type:"existingdir" help:"The folder that keys.folder names."`
+}
+
+// open opens the folder for reading, or to change it.
+func (f *keysFolder) open(readOnly bool) (*keystore.Store, error) {
+	return keystore.Open(keystore.Options{Folder: f.Folder, ReadOnly: readOnly})
+}
+
+// each reads all records, also those whose window has ended.
+func (f *keysFolder) each(yield func(keystore.Record) error) (err error) {
+	store, err := f.open(true)
+	if err != nil {
+		return err
+	}
+	defer func() { err = errors.Join(err, store.Close()) }()
+	return store.Each(0, yield)
+}
+
+type keysStat struct{ keysFolder }
+
+func (c *keysStat) Run() error { return c.print(os.Stdout, time.Now()) }
+
+func (c *keysStat) print(w io.Writer, now time.Time) (err error) {
+	store, err := c.open(true)
+	if err != nil {
+		return err
+	}
+	defer func() { err = errors.Join(err, store.Close()) }()
+	over, begun, ended, results := 0, 0, 0, 0
+	err = store.Each(0, func(r keystore.Record) error {
+		switch {
+		case r.Guard < now.UnixMicro():
+			over++
+		case r.Over:
+			ended++
+			results += len(r.Result)
+		default:
+			begun++
+		}
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	last := "never"
+	if m := store.Last(); m.Wall != 0 {
+		last = time.UnixMicro(m.Wall).UTC().Format(time.RFC3339)
+	}
+	fmt.Fprintf(w, "last written %s; windows are %d ms longer for jumps of the clock\n", last, store.Shift()/1000)
+	fmt.Fprintf(w, "%d keys with a result (%d bytes), %d begun without an end, %d whose window has ended; %d KB on disk\n",
+		ended, results, begun, over, store.Bytes()/1024)
+	return nil
+}
+
+type keysVerify struct{ keysFolder }
+
+func (c *keysVerify) Run() error {
+	n := 0
+	if err := c.each(func(keystore.Record) error { n++; return nil }); err != nil {
+		return fmt.Errorf("after %d good records: %w", n, err)
+	}
+	fmt.Println(n, "records, all good")
+	return nil
+}
+
+type keysDump struct{ keysFolder }
+
+func (c *keysDump) Run() error { return c.print(os.Stdout) }
+
+func (c *keysDump) print(w io.Writer) error {
+	outcomes := map[uint8]string{uint8(kiteslip.OK): "ok", uint8(kiteslip.Failed): "failed"}
+	out := json.NewEncoder(w)
+	return c.each(func(r keystore.Record) error {
+		state := "begun"
+		if r.Over {
+			if state = outcomes[r.Outcome]; state == "" {
+				state = fmt.Sprint("outcome ", r.Outcome)
+			}
+		}
+		return out.Encode(map[string]any{"class": r.Class, "key": r.Key, "state": state, "try": r.Name, "arrived_us": r.Arrived,
+			"until_us": r.Guard, "result": r.Result})
+	})
+}
+
+type keysCompact struct{ keysFolder }
+
+func (c *keysCompact) Run() (err error) {
+	store, err := c.open(false)
+	if err != nil {
+		return err
+	}
+	defer func() { err = errors.Join(err, store.Close()) }()
+	before := store.Bytes()
+	if err = store.Age(time.Now().UnixMicro()); err != nil {
+		return err
+	}
+	if err = store.Compact(); err != nil {
+		return err
+	}
+	fmt.Printf("%d KB, were %d KB\n", store.Bytes()/1024, before/1024)
+	return nil
+}
--- a/cmd/kiteslip/main.go
+++ b/cmd/kiteslip/main.go
@@ -28,6 +28,7 @@
 	Serve   serveCmd   `cmd:"" default:"withargs" help:"Serve until SIGTERM (the default)."`
 	Check   checkCmd   `cmd:"" help:"Read and check the configuration, and say what it amounts to."`
 	Pcap    pcapCmd    `cmd:"" help:"Work with capture files."`
+	Keys    keysCmd    `cmd:"" help:"Work with a folder of keyed results that no server uses."`
 	Version versionCmd `cmd:"" help:"Print the version."`
 }
 
@@ -129,6 +130,16 @@
 			cfg.UWSGI.Contracts[i].MaxBody, or(cfg.Backends[i], "the engine"))
 	}
 	describePools(w, cfg)
+	if k := &cfg.Keys; k.Folder != "" {
+		durability, onError := "power", "keyed requests are refused"
+		if k.Process {
+			durability = "the process"
+		}
+		if k.Unsafe {
+			onError = "keyed requests run without a record"
+		}
+		fmt.Fprintf(w, "keys in %s: outlive %s, %d MB at most; where nothing can be recorded %s\n", k.Folder, durability, k.MaxBytes>>20, onError)
+	}
 }
 
 // describePools says what the pools amount to on this machine.
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -59,6 +59,7 @@
 	// What a file that came before had and this one has not, see Succeed.
 	ClassesOff, TenantsOff []bool
 
+	Keys         Keys
 	Pools        []Pool
 	CheapReserve float64
 
--- /dev/null
+++ b/internal/config/keys.go
@@ -0,0 +1,67 @@
+package config
+
+import (
+	"path/filepath"
+
+	"kiteslip"
+)
+
+// KeysFile is [keys] of the operator's file: keyed results that outlive the process.
+type KeysFile struct {
+	Folder     string `toml:"folder"`     // an absolute path
+	Durability string `toml:"durability"` // process or power
+	MaxMB      int64  `toml:"max_mb"`     // on disk
+	OnError    string `toml:"on_error"`   // refuse or memory
+}
+
+// Keys is the checked form.
+type Keys struct {
+	Folder   string // "" = off
+	Process  bool   // records outlive the process alone, not the power
+	MaxBytes int64
+	Unsafe   bool // where nothing can be recorded, keyed requests run all the same
+}
+
+// The defaults and bounds of the store of keys.
+const (
+	defaultKeysMB = 256
+	leastKeysMB   = 16
+	mostKeysMB    = 1 << 20
+)
+
+func (k *KeysFile) apply(c *Config, errs *problems) {
+	if k == nil {
+		return
+	}
+	if k.Folder == "" {
+		errs.add("keys.folder", "is absent")
+	} else if !filepath.IsAbs(k.Folder) {
+		errs.add("keys.folder", "is %q, want an absolute path", k.Folder)
+	}
+	c.Keys = Keys{Folder: k.Folder, MaxBytes: k.MaxMB << 20}
+	switch k.Durability {
+	case "", "power":
+	case "process":
+		c.Keys.Process = true
+	default:
+		errs.add("keys.durability", "is %q, want process or power", k.Durability)
+	}
+	switch k.OnError {
+	case "", "refuse":
+	case "memory":
+		c.Keys.Unsafe = true
+	default:
+		errs.add("keys.on_error", "is %q, want refuse or memory", k.OnError)
+	}
+	if k.MaxMB == 0 {
+		c.Keys.MaxBytes = defaultKeysMB << 20
+	} else if k.MaxMB < leastKeysMB || k.MaxMB > mostKeysMB {
+		errs.add("keys.max_mb", "is %d, want %d to %d", k.MaxMB, leastKeysMB, mostKeysMB)
+	}
+	for i := range c.Module.Classes {
+		if c.Module.Classes[i].Effect == kiteslip.Keyed {
+			return
+		}
+	}
+	errs.add("keys", "is set up, and no class is keyed")
+}
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -22,6 +22,7 @@
 	Services []Service `toml:"service"`
 	Pool     []Pool    `toml:"pool"`
 	Pools    Pools     `toml:"pools"`
+	Keys     *KeysFile `toml:"keys"`
 }
 
 // Front sets up the uwsgi front. Without an address it is off.
@@ -138,6 +139,7 @@
 	o.teams(c, &errs)
 	o.services(c, &errs)
 	o.pools(c, &errs)
+	o.Keys.apply(c, &errs)
 	if len(errs) == 0 {
 		if _, err := kiteslip.New(c.Module, 0); err != nil {
 			errs = append(errs, err)
--- a/internal/config/succeed.go
+++ b/internal/config/succeed.go
@@ -29,6 +29,8 @@
 	keep("listen", next.Listen != c.Listen || next.UWSGI.Listen != c.UWSGI.Listen)
 	keep("ops", next.Ops != c.Ops)
 	keep("limits", next.Limits != c.Limits)
+	keep("keys", next.Keys != c.Keys)
+	m.Keys = c.Keys
 	m.Name, m.Listen, m.Ops, m.Limits, m.Seed, m.InheritedFD = c.Name, c.Listen, c.Ops, c.Limits, c.Seed, c.InheritedFD
 	m.UWSGI.Listen = c.UWSGI.Listen
 	m.classes(c, next)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -42,8 +42,12 @@
 	Overdue                // its due time has come
 	RunFailed              // its run ended in an error
 	InDoubt                // another process may have run its key
+	Unknown                // its key was begun by a process that has ended since, and how that ended is not known
 )
 
+// UnknownText is what callers are told where the cause is Unknown.
+const UnknownText = "this key was begun before a restart; how it ended is not known, and it is not run again within its window"
+
 // Answerer takes the one final answer of a request. The stream tells apart
 // the requests of one caller's connection.
 type Answerer interface {
@@ -88,6 +92,10 @@
 	touched bool    // it is in the list of those to look at
 	mark    float64 // of its run, for the book
 
+	recorded bool // that it may start is on record
+	ending   bool // its run is over, and the record of that under way
+	unknown  bool // it was begun in an earlier life, and its end is not known
+
 	elsewhere bool     // runs in the other process of an upgrade
 	claims    []uint32 // of that one, which wait for the result too
 }
@@ -169,6 +177,8 @@
 	counts  Counts
 	classes []Answers
 
+	journal Journal // nil = there is none
+	journalled
 	pools   *pool.Book // nil = there are none
 	touched []*Request // may have moved in the pools' book
 
@@ -232,10 +242,10 @@
 			return err
 		}
 	}
-	if err := c.worker.Retune(module); err != nil {
+	if err := c.worker.Retune(c.prepared(module)); err != nil {
 		return err
 	}
-	c.set.Module, c.set.Off = module, off
+	c.set.Module, c.set.Off = c.prepared(module), off
 	if err := c.repool(pools); err != nil {
 		return err
 	}
@@ -244,7 +254,10 @@
 	}
 	for _, e := range c.table {
 		if e.ran != nil && c.keyed(e.ran.Class) {
-			e.guard = max(e.guard, e.ran.Arrived+module.Classes[e.ran.Class].Window+keyMargin)
+			if guard := e.ran.Arrived + module.Classes[e.ran.Class].Window + keyMargin; guard > e.guard {
+				e.guard = guard
+				c.rerecord(e)
+			}
 		}
 	}
 	return nil
@@ -393,25 +406,42 @@
 	}
 	r.phase, r.outcome, r.result, r.endedAt = ended, outcome, result, r.began+elapsed
 	c.touch(r)
+	r.unknown = r.unknown && outcome != kiteslip.OK
 	if e := c.table[r.entry]; outcome == kiteslip.Moot && e != nil && e.ran == r {
 		e.ran, e.guard = nil, 0 // proved never to have run
 	}
-	c.tell(r)
-	if r.elsewhere {
-		c.serveCopies(r)
-		return
-	}
 	if outcome == kiteslip.Cancelled && !r.answered {
 		// Guards a place in the module's limit: the module would take the
 		// request back into the hold, where nothing ends it any more.
 		outcome = kiteslip.Failed
 	}
-	c.over(r, elapsed, outcome)
+	if !r.elsewhere {
+		c.events = append(c.events, kiteslip.Event{Kind: kiteslip.Done, ID: r.id, Outcome: outcome, Elapsed: elapsed})
+	}
+	if !c.recordEnd(r) {
+		c.finish(r)
+	}
 }
 
-// over ends a run or a copy: it answers the caller, and those that wait for
-// the same, and tells the module the outcome given.
+// finish tells all who wait what became of r, whose run is over.
+func (c *Core) finish(r *Request) {
+	r.ending = false
+	c.tell(r)
+	if r.elsewhere {
+		c.serveCopies(r)
+		return
+	}
+	c.close(r)
+}
+
+// over ends a run or a copy and tells the module the outcome given.
 func (c *Core) over(r *Request, elapsed int64, outcome kiteslip.Outcome) {
+	c.events = append(c.events, kiteslip.Event{Kind: kiteslip.Done, ID: r.id, Outcome: outcome, Elapsed: elapsed})
+	c.close(r)
+}
+
+// close answers the caller of r, which is over, and those that wait for the same.
+func (c *Core) close(r *Request) {
 	delete(c.open, r.id)
 	delete(c.names, r.Name)
 	if !r.answered {
@@ -421,10 +451,13 @@
 		case kiteslip.Moot:
 			c.answer(r, Answer{Code: Refused})
 		default:
-			c.answer(r, Answer{Code: Failed, Cause: RunFailed})
+			cause := RunFailed
+			if r.unknown {
+				cause = Unknown
+			}
+			c.answer(r, Answer{Code: Failed, Cause: cause})
 		}
 	}
-	c.events = append(c.events, kiteslip.Event{Kind: kiteslip.Done, ID: r.id, Outcome: outcome, Elapsed: elapsed})
 	r.Body = nil
 	c.serveCopies(r)
 }
@@ -442,7 +475,7 @@
 	if t.phase != copying {
 		return
 	}
-	t.phase, t.outcome, t.result = ended, of.outcome, of.result
+	t.phase, t.outcome, t.result, t.unknown = ended, of.outcome, of.result, of.unknown
 	if of.outcome != kiteslip.OK {
 		t.outcome = kiteslip.Failed
 	}
@@ -559,6 +592,8 @@
 	switch a.Kind {
 	case kiteslip.Run:
 		c.run(now, r)
+	case kiteslip.Prepare:
+		c.prepare(r)
 	case kiteslip.Refuse, kiteslip.Fail:
 		if !r.answered {
 			if a.Kind == kiteslip.Refuse && r.phase == held && c.pools != nil {
@@ -636,6 +671,11 @@
 	}
 	r.phase, r.began = running, now
 	c.touch(r)
+	if class.Effect == kiteslip.Keyed && c.owner && c.journal != nil && !r.recorded {
+		c.claims[r.id] = r // it was not prepared: its place waits for the record
+		c.record(r)
+		return
+	}
 	if class.Effect == kiteslip.Keyed && !c.owner {
 		c.claims[r.id] = r
 		c.peer.Claim(uint32(r.id), r.Class, r.Key, r.Arrived, r.sum)
@@ -681,8 +721,8 @@
 		c.serveCopy(r, &Request{outcome: kiteslip.Failed})
 		return
 	}
-	switch head.phase {
-	case ended, dropped:
+	switch {
+	case !head.ending && (head.phase == ended || head.phase == dropped):
 		c.serveCopy(r, head)
 	default:
 		head.copies = append(head.copies, r)
@@ -709,6 +749,7 @@
 // drop takes a request out of the book that never ran, or waited for another.
 func (c *Core) drop(r *Request) {
 	c.forget(r)
+	c.unrecord(r)
 	r.phase = dropped
 	c.touch(r)
 	delete(c.open, r.id)
@@ -747,6 +788,10 @@
 		if r.answered {
 			continue
 		}
+		if r.ending { // its record comes too late to be waited for
+			c.finish(r)
+			continue
+		}
 		c.counts.Guarded++
 		if r.phase == held {
 			c.answer(r, Answer{Code: Refused})
--- a/internal/core/keys.go
+++ b/internal/core/keys.go
@@ -28,6 +28,9 @@
 	Over           bool
 	Outcome        kiteslip.Outcome
 	Result         []byte
+	Name           string // of the try, to the engine
+	Due            int64
+	Unknown        bool // it was begun in an earlier life, and its end is not known
 }
 
 // claimsMost bounds the claims that wait for one run.
@@ -50,6 +53,11 @@
 // Disown gives the ownership up: no run of a key starts but as peer says; nil =
 // there is nobody to ask. It returns until when there is doubt, for the next owner.
 func (c *Core) Disown(peer Peer) (doubt int64) {
+	for _, r := range c.open {
+		if r.phase == held {
+			c.unrecord(r) // the next owner will record it when it is claimed
+		}
+	}
 	c.owner, c.peer = false, peer
 	return c.doubt
 }
@@ -70,7 +78,7 @@
 func (c *Core) Records(yield func(Record) bool) {
 	for _, e := range c.table {
 		if r := e.ran; r != nil && c.keyed(r.Class) && !yield(Record{r.Class, r.Key, r.Arrived, e.guard, r.sum,
-			r.phase != running, r.outcome, r.result}) {
+			r.phase != running, r.outcome, r.result, r.Name, r.Due, r.unknown}) {
 			return
 		}
 	}
@@ -80,15 +88,20 @@
 
 // Learn enters a key that the other process has started. What is known here
 // already stands, and so does the window of the settings here if it is longer.
-func (c *Core) Learn(rec Record) {
+// A run whose end is not known may still go on at the engine: it is returned,
+// and ends with Done; nil = there is nothing to wait for.
+func (c *Core) Learn(rec Record) *Request {
 	rec.Guard = max(rec.Guard, rec.Arrived+c.set.Module.Classes[rec.Class].Window+keyMargin)
 	if e := c.table[keyName(rec.Class, rec.Key)]; e != nil && e.ran != nil && e.guard >= rec.Guard {
-		return
+		return nil
 	}
 	r := c.foreignRun(rec.Class, rec.Key, rec.Arrived, rec.Guard, rec.Sum)
+	r.Name, r.Due, r.unknown = rec.Name, rec.Due, rec.Unknown
 	if rec.Over {
 		r.phase, r.outcome, r.result = ended, rec.Outcome, rec.Result
+		return nil
 	}
+	return r
 }
 
 // foreignRun enters a run of the other process.
@@ -121,7 +134,7 @@
 		switch r := e.ran; {
 		case r.sum != sum || r.phase == running && len(r.claims) >= claimsMost:
 			c.peer.Had(id, kiteslip.Failed, nil)
-		case r.phase == running:
+		case r.phase == running || r.ending:
 			r.claims = append(r.claims, id)
 		default:
 			c.peer.Had(id, r.outcome, r.result)
@@ -129,7 +142,12 @@
 	case c.inDoubt(arrived) || e != nil && e.kept != nil && e.kept.phase == held && !e.kept.answered && e.kept.sum != sum:
 		c.peer.Had(id, kiteslip.Failed, nil)
 	default:
-		c.foreignRun(class, key, arrived, arrived+c.set.Module.Classes[class].Window+keyMargin, sum)
+		r := c.foreignRun(class, key, arrived, arrived+c.set.Module.Classes[class].Window+keyMargin, sum)
+		if c.journal != nil {
+			c.granting[r.id] = grant{r, id}
+			c.record(r)
+			return
+		}
 		c.peer.Grant(id)
 	}
 }
@@ -143,7 +161,9 @@
 	delete(c.claims, r.id)
 	if r.answered {
 		c.unclaim(r, kiteslip.Moot, nil)
-		c.peer.Ended(r.Class, r.Key, r.Arrived, kiteslip.Moot, nil)
+		if !c.owner && c.peer != nil {
+			c.peer.Ended(r.Class, r.Key, r.Arrived, kiteslip.Moot, nil)
+		}
 		return
 	}
 	r.began = now
@@ -176,6 +196,7 @@
 	}
 	if e := c.table[r.entry]; outcome == kiteslip.Moot && e != nil && e.ran == r {
 		e.ran, e.guard = nil, 0
+		c.unrecord(r)
 	}
 	c.over(r, 0, kiteslip.Moot)
 }
@@ -196,6 +217,10 @@
 			c.Done(e.ran, kiteslip.Failed, 0, nil)
 		}
 	}
+	clear(c.granting)
+	if c.owner {
+		return // what is claimed waits for a record of our own
+	}
 	for id, r := range c.claims {
 		delete(c.claims, id)
 		c.unclaim(r, kiteslip.Failed, nil)
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -115,6 +115,13 @@
 	}
 }
 
+// Await takes in a run that an earlier process handed over: it may still run, or
+// have ended while nobody listened. It is never written again; where nothing is
+// heard of it until it was due, it has failed.
+func (l *Link) Await(r *core.Request) {
+	l.runs[r.Name] = &run{r: r, written: l.now(), lost: true, crossed: true}
+}
+
 func (l *Link) write(u *run) {
 	if u.written == 0 {
 		l.tries++
--- a/internal/figures/figures.go
+++ b/internal/figures/figures.go
@@ -32,6 +32,7 @@
 	Active            int // requests taken and not yet ended
 	Applied, Rejected int // configuration files at SIGHUP
 	Pools             []Pool
+	Keys              *Keys // nil = none are kept
 }
 
 const prefix = "app."
@@ -55,6 +56,9 @@
 	for i := range f.Pools {
 		f.Pools[i].append(line)
 	}
+	if f.Keys != nil {
+		f.Keys.append(line)
+	}
 	return b
 }
 
@@ -79,3 +83,26 @@
 	line(name+"cheapest", cheapest, "g")
 	line(name+"refused", p.Refused, "c")
 }
+
+// Keys are the figures of the store of keyed results.
+type Keys struct {
+	Restored, Unknown int // keys read at the start; those of them whose end is not known
+	Commits, Records  int
+	Errors            int
+	LongestMS         int // the longest commit
+	Waiting           int // records that wait for the disk
+	DiskKB            int
+	Unrecorded        int // runs that started though nothing could be recorded
+}
+
+func (k *Keys) append(line func(name string, value int, kind string)) {
+	line("keys.restored", k.Restored, "g")
+	line("keys.unknown", k.Unknown, "g")
+	line("keys.commits", k.Commits, "c")
+	line("keys.records", k.Records, "c")
+	line("keys.errors", k.Errors, "c")
+	line("keys.longest_commit_ms", k.LongestMS, "g")
+	line("keys.waiting", k.Waiting, "g")
+	line("keys.disk_kb", k.DiskKB, "g")
+	line("keys.unrecorded_runs", k.Unrecorded, "c")
+}
--- a/internal/frame/answer.go
+++ b/internal/frame/answer.go
@@ -20,5 +20,8 @@
 	case a.Code == core.Served && len(a.Result) <= MaxResult:
 		return Served, nil, a.Result
 	}
+	if a.Code == core.Failed && a.Cause == core.Unknown {
+		return Failed, nil, []byte(core.UnknownText)
+	}
 	return Failed, nil, nil // also a result that no frame may carry
 }
--- a/internal/server/door.go
+++ b/internal/server/door.go
@@ -144,5 +144,13 @@
 		f.Pools = append(f.Pools, figures.Pool{Name: p.Name, Limit: p.Limit, Running: p.Running, Waiting: p.Waiting, Own: p.Own,
 			Borrowed: p.Borrowed, Lent: p.Lent, MayWait: p.MayWait, Saved: p.Saved, Refused: p.Refused, BookedKB: int(p.BookedKB), Cheapest: p.Cheapest})
 	}
+	if w := s.keys.worker; w != nil {
+		k := w.Figures()
+		f.Keys = &figures.Keys{Restored: s.keys.restored, Unknown: s.keys.unknown, Commits: int(k.Commits), Records: int(k.Operations),
+			Errors: int(k.Errors), LongestMS: int(k.LongestUS / 1000), Waiting: k.Waiting, DiskKB: int(k.DiskBytes / 1024),
+			Unrecorded: s.core.Unrecorded()}
+	} else if s.keys.failed != nil {
+		f.Keys = &figures.Keys{Errors: 1}
+	}
 	return f
 }
--- /dev/null
+++ b/internal/server/keys.go
@@ -0,0 +1,196 @@
+package server
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/pebble/v2/vfs"
+	"go.uber.org/zap"
+
+	"kiteslip"
+	"kiteslip/internal/core"
+	"kiteslip/internal/handover"
+	"kiteslip/internal/keystore"
+	"kiteslip/internal/storage"
+)
+
+// keys is the store of keyed results, where one is set up.
+type keys struct {
+	fs       vfs.FS // nil = the system's
+	worker   *storage.Worker
+	restored int  // keys read at the start
+	unknown  int  // ... of which the end is not known
+	opening  bool // the store is being opened beside the loop
+	failed   error
+}
+
+const (
+	keysAgain  = 100 * time.Millisecond // between two tries to open a store that another process has
+	keysFresh  = 2_500_000              // a process that wrote to its store up to so long before its end wrote all
+	keysCommit = 2 * time.Second        // the end waits so long for the last records
+)
+
+// journal hands the core's records to the worker.
+type journal struct {
+	s *Server
+	w *storage.Worker
+}
+
+func (j journal) Begin(token uint32, r core.Record) { j.w.Put(token, j.s.stored(&r)) }
+func (j journal) End(token uint32, r core.Record)   { j.w.Put(token, j.s.stored(&r)) }
+func (j journal) Never(r core.Record)               { j.w.Delete(j.s.stored(&r)) }
+
+func (s *Server) stored(r *core.Record) keystore.Record {
+	return keystore.Record{Class: s.cfg.Classes[r.Class], Key: r.Key, Name: r.Name, Arrived: r.Arrived, Guard: r.Guard, Due: r.Due,
+		Sum: r.Sum, Over: r.Over, Outcome: uint8(r.Outcome), Result: r.Result}
+}
+
+// openKeys opens the store and reads what it holds. It blocks.
+func (s *Server) openKeys() (*keystore.Store, []keystore.Record, error) {
+	k := &s.cfg.Keys
+	opt := keystore.Options{Folder: k.Folder, FS: s.keys.fs, MaxBytes: k.MaxBytes, Now: storage.Clock()}
+	if k.Process {
+		opt.Durability = keystore.Process
+	}
+	store, err := keystore.Open(opt)
+	if err != nil {
+		return nil, nil, err
+	}
+	var records []keystore.Record
+	if err = store.Load(opt.Now.Wall, func(r keystore.Record) error { records = append(records, r); return nil }); err != nil {
+		store.Close() //nolint:errcheck // the first error counts
+		return nil, nil, fmt.Errorf("%s: %w", k.Folder, err)
+	}
+	return store, records, nil
+}
+
+// restore takes over what the store holds, and lets it keep what comes.
+func (s *Server) restore(store *keystore.Store, records []keystore.Record) {
+	for i := range records {
+		r := &records[i]
+		s.keys.restored++
+		outcome := r.Outcome
+		if !r.Over {
+			s.keys.unknown++
+			outcome = uint8(kiteslip.Failed)
+		}
+		class, known := s.keyed[r.Class]
+		if !known { // kept for a configuration that brings the class back
+			s.handing.strays = append(s.handing.strays, handover.Message{Kind: handover.Record, Text: r.Class, Key: r.Key,
+				Arrived: r.Arrived, Guard: r.Guard, Sum: r.Sum, Over: true, Outcome: outcome, Result: r.Result})
+			continue
+		}
+		// The engine may still run what was begun, or have ended it while nobody listened.
+		waits := !r.Over && r.Name != "" && s.cfg.Backends[class] == ""
+		if run := s.core.Learn(core.Record{Class: class, Key: r.Key, Arrived: r.Arrived, Guard: r.Guard, Sum: r.Sum, Over: !waits,
+			Outcome: kiteslip.Outcome(outcome), Result: r.Result, Name: r.Name, Due: r.Due, Unknown: !r.Over}); run != nil {
+			s.link.Await(run)
+		}
+	}
+	s.keys.worker = storage.Start(store, storage.Clock, func(outcomes []storage.Outcome) {
+		s.onLoop(func() {
+			t := now()
+			for _, o := range outcomes {
+				s.core.Recorded(t, o.Token, o.Err)
+			}
+			s.schedule()
+		})
+	})
+	s.core.Keep(journal{s, s.keys.worker}, s.cfg.Keys.Unsafe)
+	s.log.Info("keys are kept", zap.String("folder", s.cfg.Keys.Folder), zap.Int("restored", s.keys.restored),
+		zap.Int("unknown", s.keys.unknown), zap.Int64("shift_ms", store.Shift()/1000))
+}
+
+// keepKeys opens the store where this process owns the keys from its start. A
+// folder that can't be used ends the start, unless the operator wants to go on
+// without it.
+func (s *Server) keepKeys() error {
+	if s.cfg.Keys.Folder == "" || !s.core.Owner() {
+		return nil
+	}
+	store, records, err := s.openKeys()
+	if err != nil {
+		if !s.cfg.Keys.Unsafe || errors.Is(err, keystore.ErrInUse) {
+			return fmt.Errorf("keys: %w", err)
+		}
+		s.keys.failed = err
+		s.log.Error("keys are not kept, and go on in memory", zap.Error(err))
+		s.core.Own(now() + s.core.Window()) // what an earlier life ran is not known here
+		return nil
+	}
+	s.restore(store, records)
+	return nil
+}
+
+// ownKeys takes the keys over while the server runs: the store is opened beside
+// the loop, and the keys are this process's once it is.
+func (s *Server) ownKeys(doubt int64) {
+	if s.cfg.Keys.Folder == "" {
+		s.owned(doubt)
+		return
+	}
+	if s.keys.opening || s.keys.worker != nil {
+		return
+	}
+	s.keys.opening = true
+	go func() {
+		var store *keystore.Store
+		var records []keystore.Record
+		var err error
+		for !s.over.Load() {
+			if store, records, err = s.openKeys(); !errors.Is(err, keystore.ErrInUse) {
+				break
+			}
+			time.Sleep(keysAgain)
+		}
+		s.onLoop(func() { s.opened(store, records, err, doubt) })
+	}()
+}
+
+func (s *Server) opened(store *keystore.Store, records []keystore.Record, err error, doubt int64) {
+	s.keys.opening = false
+	if err != nil {
+		s.keys.failed = err
+		s.log.Error("keys are not kept", zap.Error(err))
+		if s.cfg.Keys.Unsafe {
+			s.owned(max(doubt, now()+s.core.Window()))
+		}
+		return // keyed requests fail: what ran is not known
+	}
+	if last := store.Last().Wall; last != 0 && doubt != 0 && last+keysFresh >= doubt-s.core.Window() {
+		doubt = 0 // the process before wrote all that it began
+	}
+	s.restore(store, records)
+	s.owned(doubt)
+}
+
+// leaveKeys gives the store up, and calls then on the loop once all is written.
+func (s *Server) leaveKeys(then func()) {
+	w := s.keys.worker
+	if w == nil {
+		then()
+		return
+	}
+	s.keys.worker = nil
+	done := w.Close()
+	go func() {
+		<-done
+		s.onLoop(func() {
+			s.core.Keep(nil, false)
+			then()
+		})
+	}()
+}
+
+// closeKeys writes what waits, at the end.
+func (s *Server) closeKeys() {
+	if s.keys.worker == nil {
+		return
+	}
+	select {
+	case <-s.keys.worker.Close():
+	case <-time.After(keysCommit):
+		s.log.Warn("the store of keys has not taken its last records in time")
+	}
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -106,6 +106,7 @@
 	stopping  atomic.Bool // listeners are closed on purpose
 	over      atomic.Bool // the run has ended
 
+	keys     keys
 	book     *uwsgi.Book
 	backends map[*backendConn]struct{}
 	calls    int    // backends that may be called at once
@@ -188,6 +189,10 @@
 		return err
 	}
 	defer s.closeUpgrade()
+	if err = s.keepKeys(); err != nil {
+		return err
+	}
+	defer s.closeKeys()
 	if err = s.Listen(); err != nil {
 		return err
 	}
--- a/internal/server/upgrade.go
+++ b/internal/server/upgrade.go
@@ -64,6 +64,7 @@
 	gone    bool
 	heardAt int64
 	handing bool               // the table is under way
+	closing bool               // ... once the store of keys is closed
 	table   []core.Record      // keys that are still to be handed over, and then YOURS
 	doubt   int64              // ... which says this
 	later   []handover.Message // what is said after that
@@ -333,13 +334,19 @@
 // own takes the keys over, if no other process has them.
 func (s *Server) own(doubt int64) {
 	if s.handing.place.Own() {
-		s.log.Info("the keys are owned here", zap.Int64("doubt_ms", max(0, (doubt-now())/1000)))
-		s.core.Own(doubt)
-		if p := s.handing.peer; p != nil {
-			s.core.Meet(p)
-		}
-		s.await()
+		s.ownKeys(doubt)
+	}
+	s.schedule()
+}
+
+// owned makes the keys this process's, with the store open if there is one.
+func (s *Server) owned(doubt int64) {
+	s.log.Info("the keys are owned here", zap.Int64("doubt_ms", max(0, (doubt-now())/1000)))
+	s.core.Own(doubt)
+	if p := s.handing.peer; p != nil {
+		s.core.Meet(p)
 	}
+	s.await()
 	s.schedule()
 }
 
@@ -357,15 +364,18 @@
 	if err := u.place.Disown(); err != nil {
 		s.log.Error("upgrade", zap.Error(err))
 	}
-	p.table, p.doubt, p.handing = slices.Collect(s.core.Records), doubt, true
-	s.log.Info("the keys are handed over", zap.Int("keys", len(p.table)))
-	p.pump()
+	p.handing, p.closing = true, true
+	s.leaveKeys(func() {
+		p.table, p.doubt, p.closing = slices.Collect(s.core.Records), doubt, false
+		s.log.Info("the keys are handed over", zap.Int("keys", len(p.table)))
+		p.pump()
+	})
 }
 
 // pump sends as much of the table as the other process keeps up with, so that
 // a large one takes no memory of its own.
 func (p *peerConn) pump() {
-	if !p.handing {
+	if !p.handing || p.closing {
 		return
 	}
 	for len(p.table) > 0 && len(p.out)+p.conn.OutboundBuffered() < tableAtOnce {
@@ -422,6 +432,9 @@
 		}
 	case u.peer == nil && s.stopAt == 0:
 		// The owner may have started runs until a moment ago.
+		if s.keys.opening {
+			return // the keys are ours once the store is open
+		}
 		if u.place.Own() {
 			u.handed = false
 			s.own(t + s.core.Window())
--- a/internal/server/web.go
+++ b/internal/server/web.go
@@ -130,7 +130,11 @@
 // Answer writes the final answer.
 func (f *webSession) Answer(_ uint32, a core.Answer) {
 	status, retryAfter := uwsgi.Status(&a)
-	f.respond(status, retryAfter, a.Result)
+	body := a.Result
+	if a.Code == core.Failed && a.Cause == core.Unknown {
+		body = []byte(core.UnknownText)
+	}
+	f.respond(status, retryAfter, body)
 }
 
 func (f *webSession) respond(status, retryAfter int, body []byte) {
--- a/kiteslip.go
+++ b/kiteslip.go
@@ -76,6 +76,7 @@
 	Worth     float64 // worth of one answer
 	LateWorth float64 // share of the worth earned after the aim
 	Calls     bool    // its requests may call below
+	Prepare   bool    // its requests begin only once they are Ready, which Prepare asks for
 	SkipWorth float64 // share of the worth earned without the call; 0 = must not be left out
 }
 
@@ -138,6 +139,7 @@
 	Timer                         // a timer is due: Token, Gauges
 	Drain                         // the worker will be stopped at Deadline
 	Handover                      // another has its place: it still answers what comes, and is stopped at Deadline
+	Ready                         // what Prepare asked for is done: the request may begin
 	Beside                        // another worker shares its machine: Runs on the cores, SizeKB booked
 )
 
@@ -204,6 +206,7 @@
 	Idle                           // close connections idle for After
 	SetTimer                       // ask for a Timer event after After with Token
 	Log                            // a line for the operators
+	Prepare                        // make a held request ready to begin; ends with one Ready event, unless it is over first
 )
 
 // Action is one thing to do. Which fields count depends on Kind.
--- a/policy.go
+++ b/policy.go
@@ -86,6 +86,7 @@
 	class, tenant       int
 	phase               phase
 	kept, ran, answered bool
+	asked, ready        bool // it was to be prepared; it is
 	late                bool // will miss its aim, may still earn late worth
 	size, density       float64
 	reached, due, aim   int64
@@ -253,6 +254,8 @@
 		r.phase, r.callAt, r.tries = atCall, w.now, 0
 	case e.Kind == Called:
 		w.called(r, e)
+	case e.Kind == Ready:
+		r.ready = true
 	case e.Kind == Gone:
 		acts = w.drop(r, acts)
 	}
@@ -491,6 +494,19 @@
 	// Guards against a few heavy runs that hold all places while others could be done beside them: these run
 	// beyond the limit, and show that the cores get on. It harms where heavy runs crowd the cores already.
 	limit += min(w.heavy, w.set.Cores)
+	// What must be prepared before it begins is, while others run: no place waits for it. Not many at once:
+	// what is prepared and then refused was prepared in vain.
+	ahead := 0
+	for _, i := range w.order {
+		r := &w.reqs[i]
+		if !w.set.Classes[r.class].Prepare || r.head != 0 || !r.asked && ahead >= w.set.Cores {
+			continue
+		}
+		if ahead++; !r.asked {
+			r.asked = true
+			acts = append(acts, Action{Kind: Prepare, ID: r.id})
+		}
+	}
 	if w.ceil != nil {
 		limit = min(limit, max(1, w.ceil.Places))
 	}
@@ -504,7 +520,8 @@
 			if float64(w.onCore+w.out+1) > crowd || own && owed <= 0 || !own && w.onCore >= limit {
 				break
 			}
-			if r.phase != held && r.phase != paused || r.head != 0 || r.answered || !w.fits(r, own, limit) {
+			if r.phase != held && r.phase != paused || r.head != 0 || r.answered || !w.fits(r, own, limit) ||
+				w.set.Classes[r.class].Prepare && !r.ready {
 				continue
 			}
 			if r.phase == held {
