--- a/cmd/kitelab/main.go
+++ b/cmd/kitelab/main.go
@@ -13,6 +13,7 @@
 
 type cli struct {
 	Pools poolsCmd `cmd:"" help:"Class pools against none, in simulated time."`
+	Keys  keysCmd  `cmd:"" help:"Keyed results over kills, losses of power and restarts."`
 	Door  doorCmd  `cmd:"" help:"A thousand connections that ask from the start, against the real program."`
 }
 
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -69,11 +69,18 @@
 
 // launch runs a server set up by cfg, which need not serve yet.
 func launch(t testing.TB, cfg *config.Config) *running {
+	t.Helper()
+	return launchWith(t, cfg, func(*Server) {})
+}
+
+// launchWith does the same with a server that is changed before it starts.
+func launchWith(t testing.TB, cfg *config.Config, change func(*Server)) *running {
 	t.Helper()
 	s, err := New(cfg, zap.NewNop())
 	if err != nil {
 		t.Fatal(err)
 	}
+	change(s)
 	if cfg.InheritedFD == 0 {
 		if err := s.Listen(); err != nil {
 			t.Fatal(err)
--- a/internal/standin/box/engine.go
+++ b/internal/standin/box/engine.go
@@ -31,6 +31,7 @@
 	out   *bufio.Writer
 	dirty bool
 	timer *time.Timer
+	began func(body string)
 	done  bool
 }
 
@@ -79,6 +80,13 @@
 	e.mu.Unlock()
 }
 
+// OnBegin calls f with the body of each run that begins from now on.
+func (e *Engine) OnBegin(f func(body string)) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.began = f
+}
+
 // Change lets f act on the box, at the time now.
 func (e *Engine) Change(f func(b *Box, now int64)) {
 	e.mu.Lock()
@@ -215,6 +223,9 @@
 		return
 	}
 	e.names[name] = true
+	if e.began != nil {
+		e.began(string(body))
+	}
 	if work := Work(body); work > 0 {
 		e.next++
 		e.live[e.next] = running{name, body}
