--- a/internal/keystore/rehearse.go
+++ b/internal/keystore/rehearse.go
@@ -129,9 +129,13 @@
 		return fmt.Errorf("after the loss: %w", err)
 	}
 	found := map[string]Record{}
-	if err = s.Load(epoch, func(r Record) error { found[r.Key] = r; return nil }); err != nil {
+	list, err := s.Load(epoch)
+	if err != nil {
 		return fmt.Errorf("after the loss: %w", err)
 	}
+	for _, r := range list {
+		found[r.Key] = r
+	}
 	for key, was := range sure {
 		if r, there := found[key]; !there || was.over && !r.Over {
 			return errors.Join(s.Close(), fmt.Errorf("key %s was acknowledged, and is lost", key))
--- a/internal/keystore/store.go
+++ b/internal/keystore/store.go
@@ -229,33 +229,32 @@
 // Shift is by how much windows have become longer since the folder was made.
 func (s *Store) Shift() int64 { return s.shift }
 
-// Load yields the records that still matter at now (microseconds on the wall
+// Load returns the records that still matter at now (microseconds on the wall
 // clock), each key once, with windows as long as they must be in this life.
-func (s *Store) Load(now int64, yield func(Record) error) error {
+func (s *Store) Load(now int64) ([]Record, error) {
 	type name struct{ class, key string }
-	found := map[name]Record{}
+	var list []Record
+	places := map[name]int32{}
 	err := s.Each(now, func(r Record) error {
 		at := name{r.Class, r.Key}
-		other, there := found[at]
-		if there && !r.Stands(&other) {
-			r, other = other, r
+		i, there := places[at]
+		if !there {
+			if len(list) >= mostKeys {
+				return fmt.Errorf("%w: over %d keys", ErrDamage, mostKeys)
+			}
+			places[at] = int32(len(list))
+			list = append(list, r)
+			return nil
 		}
-		r.Guard = max(r.Guard, other.Guard)
-		found[at] = r
-		if len(found) > mostKeys {
-			return fmt.Errorf("%w: over %d keys", ErrDamage, mostKeys)
+		other := &list[i]
+		guard := max(r.Guard, other.Guard)
+		if r.Stands(other) {
+			*other = r
 		}
+		other.Guard = guard
 		return nil
 	})
-	if err != nil {
-		return err
-	}
-	for _, r := range found {
-		if err := yield(r); err != nil {
-			return err
-		}
-	}
-	return nil
+	return list, err
 }
 
 // Each yields all records whose window has not ended at now, also several of one key.
--- a/internal/keystore/store_test.go
+++ b/internal/keystore/store_test.go
@@ -47,9 +47,13 @@
 func load(t testing.TB, s *Store, now int64) map[string]Record {
 	t.Helper()
 	found := map[string]Record{}
-	if err := s.Load(now, func(r Record) error { found[r.Key] = r; return nil }); err != nil {
+	list, err := s.Load(now)
+	if err != nil {
 		t.Fatal(err)
 	}
+	for _, r := range list {
+		found[r.Key] = r
+	}
 	return found
 }
 
--- a/internal/server/keys.go
+++ b/internal/server/keys.go
@@ -57,8 +57,8 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	var records []keystore.Record
-	if err = store.Load(opt.Now.Wall, func(r keystore.Record) error { records = append(records, r); return nil }); err != nil {
+	records, err := store.Load(opt.Now.Wall)
+	if err != nil {
 		store.Close() //nolint:errcheck // the first error counts
 		return nil, nil, fmt.Errorf("%s: %w", k.Folder, err)
 	}
