--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # build, test, lint and run; see README.md.
 VERSION := $(shell git describe --always --dirty 2>/dev/null || echo development)
 
-.PHONY: build test lint run measure-pools measure-door
+.PHONY: build test lint run measure-pools measure-door measure-keys
 
 build:
 	mkdir -p bin
@@ -15,7 +15,8 @@
 PLAIN = . ./cmd/simhost/... ./internal/wire/... ./internal/config/... ./internal/frame/... ./internal/uwsgi/... \
 	./internal/ops/... ./internal/figures/... ./internal/pool/... ./internal/lab/...
 RACED = ./cmd/kiteslip/... ./cmd/kitelab/... ./internal/core/... ./internal/engine/... ./internal/registry/... ./internal/handover/... \
-	./internal/server/... ./internal/pcap/... ./internal/replay/... ./internal/standin/...
+	./internal/server/... ./internal/pcap/... ./internal/replay/... ./internal/standin/... \
+	./internal/keystore/... ./internal/storage/...
 
 test:
 	go test $(PLAIN)
@@ -29,6 +30,9 @@
 measure-door: build
 	bin/kitelab door
 
+measure-keys: build
+	bin/kitelab keys
+
 lint:
 	@test -z "$$(gofmt -l .)" || { gofmt -l .; exit 1; }
 	go vet ./...
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -128,6 +128,11 @@
 		{"held_kb = 32\n", "held_kb = 32\n[[pool]]\nname = \"p\"\nclasses = [\"draw\"]\n[[pool]]\nname = \"q\"\nclasses = [\"draw\"]\n", `pool[1].classes has "draw", which is in pool "p"`},
 		{"held_kb = 32\n", "held_kb = 32\n[[pool]]\nname = \"p\"\nclasses = [\"draw\"]\nshare = 2.0\n", "pool[0].share"},
 		{"held_kb = 32\n", "held_kb = 32\n[[pool]]\nname = \"p\"\nclasses = [\"draw\"]\nshares = 0.2\n", "pool.shares"},
+		{"held_kb = 32\n", "held_kb = 32\n[keys]\n", "keys.folder"},
+		{"held_kb = 32\n", "held_kb = 32\n[keys]\nfolder = \"keys\"\n", `keys.folder is "keys"`},
+		{"held_kb = 32\n", "held_kb = 32\n[keys]\nfolder = \"/k\"\ndurability = \"none\"\n", "keys.durability"},
+		{"held_kb = 32\n", "held_kb = 32\n[keys]\nfolder = \"/k\"\non_error = \"panic\"\n", "keys.on_error"},
+		{"held_kb = 32\n", "held_kb = 32\n[keys]\nfolder = \"/k\"\nmax_mb = 1\n", "keys.max_mb"},
 		{`name = "maps"`, "", "service[0].name"}, {"worth = 3.0", `worth = "much"`, "worth"},
 	} {
 		_, err := ParseOperator(strings.Replace(machine+operator, c.old, c.new, 1), nil)
--- a/internal/server/keys_test.go
+++ b/internal/server/keys_test.go
@@ -59,6 +59,19 @@
 	if web.Status != 200 || web.Body != "did body 2" {
 		t.Errorf("through the other front: %+v", web)
 	}
+	var records int64
+	r.look(func() { records = r.keys.worker.Figures().Operations })
+	for i := range 500 { // one that is very popular takes no more room
+		c.Send(uint32(100+i), standin.Fields("note", "red", "k3", uint64(1000+i), 3*time.Second), "body 3")
+		if got, ok := c.Next(); !ok || got.Code != frame.Served {
+			t.Fatalf("%+v", got)
+		}
+	}
+	r.look(func() {
+		if n := r.keys.worker.Figures().Operations; n != records {
+			t.Errorf("500 repeats of one key left %d records", n-records)
+		}
+	})
 	for body, n := range engine.Runs() {
 		if n != 1 {
 			t.Errorf("%s ran %d times", body, n)
--- a/policy_test.go
+++ b/policy_test.go
@@ -1235,3 +1235,44 @@
 		}
 	}
 }
+
+// A class that must be prepared begins only what is ready: as many are asked
+// for at once as there are cores, no place waits for them, and each is asked for once.
+func TestPrepare(t *testing.T) {
+	t.Parallel()
+	s := settings()
+	s.Below, s.Classes[0].Calls, s.Classes[1].Calls = 0, false, false
+	s.Classes[1].Prepare = true
+	w, err := New(s, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	step := func(now int64, events ...Event) (prepare, run []RequestID) {
+		for _, a := range w.Step(now, events, nil) {
+			switch a.Kind {
+			case Prepare:
+				prepare = append(prepare, a.ID)
+			case Run:
+				run = append(run, a.ID)
+			}
+		}
+		return prepare, run
+	}
+	var events []Event
+	for id := RequestID(1); id <= 4; id++ {
+		events = append(events, Event{Kind: Arrive, ID: id, Class: 1, SizeKB: 10, Deadline: 1_900_000})
+	}
+	prepare, run := step(1, append(events, Event{Kind: Arrive, ID: 9, Class: 0, SizeKB: 10, Deadline: 4_000_000})...)
+	if !slices.Equal(prepare, []RequestID{1, 2}) || !slices.Equal(run, []RequestID{9}) {
+		t.Errorf("prepares %v, runs %v", prepare, run)
+	}
+	if prepare, run = step(10_000); prepare != nil || run != nil {
+		t.Errorf("with nothing ready: prepares %v, runs %v", prepare, run)
+	}
+	if prepare, run = step(20_000, Event{Kind: Ready, ID: 2}); !slices.Equal(run, []RequestID{2}) {
+		t.Errorf("with one ready: runs %v", run)
+	}
+	if prepare, run = step(30_000, Event{Kind: Gone, ID: 1}); !slices.Equal(prepare, []RequestID{3, 4}) || run != nil {
+		t.Errorf("with one gone: prepares %v, runs %v", prepare, run)
+	}
+}
