--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -7,7 +7,9 @@
 package core
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"strconv"
 
 	"kiteslip"
@@ -784,6 +786,7 @@
 		}
 		late = append(late, r)
 	}
+	slices.SortFunc(late, func(a, b *Request) int { return cmp.Compare(a.id, b.id) }) // the same order each time
 	for _, r := range late {
 		if r.answered {
 			continue
