--- /dev/null
+++ b/internal/lab/experiment/experiment_test.go
@@ -0,0 +1,144 @@
+package experiment
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+
+	"kiteslip/internal/lab/fleet"
+	"kiteslip/internal/lab/paired"
+)
+
+func text(t *testing.T, name string, changes ...string) string {
+	t.Helper()
+	b, err := os.ReadFile(filepath.Join("..", "..", "..", "scenarios", name+".toml"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := strings.Replace(strings.Replace(string(b), "boxes = 10", "boxes = 5", 1), "seconds = 60", "seconds = 40", 1)
+	for i := 0; i+1 < len(changes); i += 2 {
+		if !strings.Contains(s, changes[i]) {
+			t.Fatalf("%q is not in %s", changes[i], name)
+		}
+		s = strings.ReplaceAll(s, changes[i], changes[i+1])
+	}
+	return s
+}
+
+func silent(int, int) {}
+
+// A run that was stopped goes on where it was, also after its last line was cut
+// short, and has the same outcome as one that was never stopped.
+func TestStopAndResume(t *testing.T) {
+	t.Parallel()
+	scenario, state := text(t, "calm-lunch"), filepath.Join(t.TempDir(), "state")
+	whole, err := Play(scenario, 6, "", nil, silent)
+	if err != nil {
+		t.Fatal(err)
+	}
+	stop := make(chan struct{})
+	_, err = Play(scenario, 6, state, stop, func(done, of int) {
+		if done == 1 {
+			close(stop)
+		}
+	})
+	if err != nil && !errors.Is(err, ErrStopped) {
+		t.Fatal(err)
+	}
+	kept, err := os.ReadFile(state)
+	if err != nil || len(kept) == 0 {
+		t.Fatalf("%d bytes are kept, %v", len(kept), err)
+	}
+	if err := os.WriteFile(state, append(kept, kept[:len(kept)/2]...), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	first := -1
+	again, err := Play(scenario, 6, state, nil, func(done, of int) {
+		if first < 0 {
+			first = done
+		}
+	})
+	if err != nil || first == 0 {
+		t.Fatalf("resumed with %d days done: %v", first, err)
+	}
+	if !reflect.DeepEqual(whole, again) {
+		t.Error("a resumed run differs from a whole one")
+	}
+	if _, err := Play(strings.Replace(scenario, "load = 0.7", "load = 0.6", 1), 1, state, nil, func(done, of int) { first = done }); err != nil || first != 1 {
+		t.Errorf("another text takes the days of the first: %v", err)
+	}
+}
+
+// row finds a figure.
+func row(t *testing.T, rows []Row, name string) Row {
+	t.Helper()
+	for _, r := range rows {
+		if r.Name == name {
+			return r
+		}
+	}
+	t.Fatalf("no row %q", name)
+	return Row{}
+}
+
+func compare(t *testing.T, a, b string, seeds int) []Row {
+	t.Helper()
+	var runs [2]*Run
+	for i, s := range []string{a, b} {
+		var err error
+		if runs[i], err = Play(s, seeds, "", nil, silent); err != nil {
+			t.Fatal(err)
+		}
+	}
+	rows, err := Compare(runs[0], runs[1])
+	if err != nil {
+		t.Fatal(err)
+	}
+	return rows
+}
+
+// A failure of ten seconds shows in the worst ten seconds, and far less in the whole.
+func TestEffectInTheWorstWindow(t *testing.T) {
+	t.Parallel()
+	calm := text(t, "calm-lunch")
+	rows := compare(t, calm, calm+"\n[[failure]]\nkind = \"slow\"\nat_s = 15\nfor_s = 6\nshare = 0.4\nfactor = 0.2\n", 8)
+	worst, whole := row(t, rows, "worst ten seconds"), row(t, rows, "whole")
+	if worst.Verdict != paired.Worse || worst.Mean > 2*whole.Mean {
+		t.Errorf("worst ten seconds %+v, whole %+v", worst, whole)
+	}
+	if text := Verdict(rows); !strings.Contains(text, "hurts") || !strings.Contains(text, "worst ten seconds") {
+		t.Error(text)
+	}
+}
+
+// A change that helps one class and hurts another: the verdict says both.
+func TestHelpsOneHurtsAnother(t *testing.T) {
+	t.Parallel()
+	full := text(t, "month-end", "load = 0.8", "load = 1.2")
+	pools := "[server]\ncheap_reserve = 0.25\n[[server.pool]]\nname = \"landmarks\"\nclasses = [\"landmark-search\"]\nshare = 0.8\n[fleet]"
+	rows := compare(t, full, strings.Replace(full, "[fleet]", pools, 1), 6)
+	if r := row(t, rows, "class landmark-search"); r.Verdict != paired.Better {
+		t.Errorf("landmark-search: %+v", r)
+	}
+	verdict := Verdict(rows)
+	if !strings.Contains(verdict, "B helps") || !strings.Contains(verdict, "B hurts") {
+		t.Error(verdict)
+	}
+}
+
+// Equal settings can't be told apart by chance, and are the same on the same seeds.
+func TestEqualSettings(t *testing.T) {
+	t.Parallel()
+	s := text(t, "fifth-dies")
+	for _, r := range compare(t, s, s, 3) {
+		if r.Verdict != paired.NoChange {
+			t.Errorf("%+v", r)
+		}
+	}
+	if _, err := Compare(&Run{}, &Run{Days: []Seeded{{1, &fleet.Outcome{}}}}); err == nil {
+		t.Error("runs without a common seed are compared")
+	}
+}
--- a/internal/lab/fleet/score.go
+++ b/internal/lab/fleet/score.go
@@ -34,9 +34,14 @@
 	Overdue, Twice                    int // rules broken: answers after their due time, second runs of a key on one box
 	Parts
 	Classes, Teams []Group
-	Windows        []float64 // the part of the worth served, by second
+	Windows        []float64   // the part of the worth served, by second
+	Refused        []int       // requests that ended refused, by the second they were asked in
+	Percentiles    [][]float64 // by class: latency in ms at each of Quantiles
 }
 
+// Quantiles are those of Percentiles, in percent.
+var Quantiles = []float64{1, 5, 10, 25, 50, 75, 90, 95, 99, 99.5, 99.9}
+
 // tally adds up worth.
 type tally struct {
 	asked, got float64
@@ -133,9 +138,17 @@
 	o.Asked = s.whole.group.Asked
 	o.Whole, o.WorstClass, o.WorstTeam = s.whole.share(), least(s.classes), least(s.teams)
 	o.Classes, o.Teams = groups(s.classes), groups(s.teams)
+	for i := range s.classes {
+		var at []float64
+		for _, q := range Quantiles {
+			at = append(at, float64(s.classes[i].times.ValueAtQuantile(q))/1000)
+		}
+		o.Percentiles = append(o.Percentiles, at)
+	}
 	o.WorstWindow = 1
 	for i := range s.seconds {
 		o.Windows = append(o.Windows, s.seconds[i].share())
+		o.Refused = append(o.Refused, s.seconds[i].group.Refused)
 		if i+window/Second > len(s.seconds) || int64(i)*Second < s.day.From {
 			continue
 		}
