--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # build, test, lint and run; see README.md.
 VERSION := $(shell git describe --always --dirty 2>/dev/null || echo development)
 
-.PHONY: build test lint run measure-pools measure-door measure-keys
+.PHONY: build test lint run measure-pools measure-door measure-keys measure-lab demo
 
 build:
 	mkdir -p bin
@@ -13,10 +13,11 @@
 
 # Decisions and parsers as they are; all that touches sockets with the race detector.
 PLAIN = . ./cmd/simhost/... ./internal/wire/... ./internal/config/... ./internal/frame/... ./internal/uwsgi/... \
-	./internal/ops/... ./internal/figures/... ./internal/pool/... ./internal/lab/...
+	./internal/ops/... ./internal/figures/... ./internal/pool/... ./internal/lab ./internal/lab/fleet/... ./internal/lab/paired/... ./internal/lab/experiment/... \
+	./internal/lab/report/...
 RACED = ./cmd/kiteslip/... ./cmd/kitelab/... ./internal/core/... ./internal/engine/... ./internal/registry/... ./internal/handover/... \
 	./internal/server/... ./internal/pcap/... ./internal/replay/... ./internal/standin/... \
-	./internal/keystore/... ./internal/storage/...
+	./internal/keystore/... ./internal/storage/... ./internal/lab/live/...
 
 test:
 	go test $(PLAIN)
@@ -30,6 +31,14 @@
 measure-door: build
 	bin/kitelab door
 
+measure-lab: build
+	bin/kitelab lab
+
+# The real program on loopback: boxes, load and an incident, live in the
+# terminal, with a report at the end. Ctrl-C ends it early.
+demo: build
+	bin/kitelab live scenarios/fifth-dies.toml --boxes 5 --html demo.html
+
 measure-keys: build
 	bin/kitelab keys
 
--- a/cmd/kitelab/door.go
+++ b/cmd/kitelab/door.go
@@ -16,6 +16,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"kiteslip/internal/frame"
+	"kiteslip/internal/lab/live"
 	"kiteslip/internal/standin/box"
 )
 
@@ -90,7 +91,7 @@
 		return r, err
 	}
 	defer engine.Close()
-	listen, err := freeAddress()
+	listen, err := live.FreeAddress()
 	if err != nil {
 		return r, err
 	}
@@ -103,11 +104,11 @@
 		return r, err
 	}
 	defer os.RemoveAll(dir)
-	p, err := startProgram(c.Program, dir, listen, text, "")
+	p, err := live.Start(c.Program, dir, listen, text, "")
 	if err != nil {
 		return r, err
 	}
-	defer p.stop()
+	defer p.Stop()
 	return c.ask(listen, settle, p.Cmd)
 }
 
--- a/cmd/kitelab/keys.go
+++ b/cmd/kitelab/keys.go
@@ -18,6 +18,7 @@
 
 	"kiteslip/internal/frame"
 	"kiteslip/internal/keystore"
+	"kiteslip/internal/lab/live"
 	"kiteslip/internal/standin/box"
 	"kiteslip/internal/storage"
 )
@@ -59,7 +60,7 @@
 		return err
 	}
 	defer l.engine.Close()
-	if l.listen, err = freeAddress(); err != nil {
+	if l.listen, err = live.FreeAddress(); err != nil {
 		return err
 	}
 	l.settings, err = json.Marshal(map[string]any{
@@ -141,8 +142,8 @@
 	return fmt.Sprintf("[keys]\nfolder = %q\ndurability = %q\nmax_mb = 1024\n", filepath.Join(l.dir, folder), durability)
 }
 
-func (l *keysLab) start(durability, folder string) (*program, error) {
-	return startProgram(l.Program, l.dir, l.listen, l.settings, l.file(durability, folder))
+func (l *keysLab) start(durability, folder string) (*live.Program, error) {
+	return live.Start(l.Program, l.dir, l.listen, l.settings, l.file(durability, folder))
 }
 
 // killed is the outcome of the kills.
@@ -175,7 +176,7 @@
 	if err != nil {
 		return nil, err
 	}
-	defer func() { p.kill() }()
+	defer func() { p.Kill() }()
 	for n := range l.Kills {
 		answered := map[string]bool{}
 		keys := make([]string, l.Each)
@@ -191,7 +192,7 @@
 		for key, r := range first {
 			answered[key] = r.code == frame.Served
 		}
-		p.kill()
+		p.Kill()
 		if p, err = l.start("process", "kills"); err != nil {
 			return nil, err
 		}
@@ -343,13 +344,13 @@
 		return 0, 0, err
 	}
 	took = time.Since(began)
-	defer p.kill()
+	defer p.Kill()
 	c, err := dial(l.listen)
 	if err != nil {
 		return 0, 0, err
 	}
 	defer c.Close()
-	if peakKB, err = p.peakKB(); err != nil {
+	if peakKB, err = p.PeakKB(); err != nil {
 		return 0, 0, err
 	}
 	if _, err = c.send("note", "live 7", "x", time.Second); err != nil {
@@ -460,7 +461,7 @@
 	if err != nil {
 		return times{}, err
 	}
-	defer p.kill()
+	defer p.Kill()
 	if _, err = l.load("note", "warm", "0", 16, 300*time.Millisecond); err != nil {
 		return times{}, err
 	}
@@ -488,7 +489,7 @@
 			}()
 			h, err := l.load("look", "", "20000", 8, 1400*time.Millisecond)
 			err = errors.Join(err, <-beside)
-			p.kill()
+			p.Kill()
 			if err != nil {
 				return 0, err
 			}
--- a/cmd/kitelab/main.go
+++ b/cmd/kitelab/main.go
@@ -12,6 +12,13 @@
 )
 
 type cli struct {
+	Run     runCmd     `cmd:"" help:"Play a scenario on some seeds, in simulated time."`
+	Compare compareCmd `cmd:"" help:"Compare two scenarios, or earlier runs, seed by seed."`
+	Sweep   sweepCmd   `cmd:"" help:"Compare a scenario with itself under other values of one key."`
+	Live    liveCmd    `cmd:"" help:"Play a scenario against the real program on loopback."`
+	Report  reportCmd  `cmd:"" help:"Write the report of an earlier run."`
+	Lab     labCmd     `cmd:"" help:"Measure the laboratory itself."`
+
 	Pools poolsCmd `cmd:"" help:"Class pools against none, in simulated time."`
 	Keys  keysCmd  `cmd:"" help:"Keyed results over kills, losses of power and restarts."`
 	Door  doorCmd  `cmd:"" help:"A thousand connections that ask from the start, against the real program."`
--- /dev/null
+++ b/cmd/kitelab/runs.go
@@ -0,0 +1,287 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"text/tabwriter"
+
+	"github.com/BurntSushi/toml"
+
+	"kiteslip/internal/lab/experiment"
+	"kiteslip/internal/lab/fleet"
+	"kiteslip/internal/lab/report"
+)
+
+// interrupted is closed at the first ctrl-C or SIGTERM.
+func interrupted() <-chan struct{} {
+	signals, stop := make(chan os.Signal, 1), make(chan struct{})
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-signals
+		signal.Stop(signals)
+		close(stop)
+	}()
+	return stop
+}
+
+// progress shows how far a run is on standard error.
+func progress(name string) func(done, of int) {
+	return func(done, of int) {
+		fmt.Fprintf(os.Stderr, "\r%s: %d of %d days", name, done, of)
+		if done == of {
+			fmt.Fprintln(os.Stderr)
+		}
+	}
+}
+
+// outputs are where a run goes besides the terminal.
+type outputs struct {
+	JSON string `type:"path" help:"Write the run to this file; compare and report take it."`
+	HTML string `type:"path" help:"Write a report with plots to this file."`
+}
+
+func (o *outputs) write(runs []*experiment.Run, rows []experiment.Row) error {
+	if o.JSON != "" {
+		if err := writeJSON(o.JSON, runs[len(runs)-1]); err != nil {
+			return err
+		}
+	}
+	if o.HTML == "" {
+		return nil
+	}
+	f, err := os.Create(o.HTML)
+	if err != nil {
+		return err
+	}
+	if err = report.Write(f, runs, rows); err != nil {
+		return errors.Join(err, f.Close())
+	}
+	fmt.Println("report:", o.HTML)
+	return f.Close()
+}
+
+func writeJSON(path string, run *experiment.Run) error {
+	b, err := json.MarshalIndent(run, "", " ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(path, append(b, '\n'), 0o644)
+}
+
+// obtain plays a scenario file, or reads a run that was written before.
+func obtain(path string, seeds int, state string, stop experiment.Stop) (*experiment.Run, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	if strings.HasSuffix(path, ".json") {
+		run := &experiment.Run{}
+		if err = json.Unmarshal(text, run); err != nil {
+			return nil, fmt.Errorf("%s: %w", path, err)
+		}
+		for i, d := range run.Days {
+			if d.Outcome == nil || d.Seed != uint64(i+1) {
+				return nil, fmt.Errorf("%s: the day of seed %d is missing", path, i+1)
+			}
+		}
+		if len(run.Days) == 0 {
+			return nil, fmt.Errorf("%s: there are no days in it", path)
+		}
+		return run, nil
+	}
+	run, err := experiment.Play(string(text), seeds, state, stop, progress(path))
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return run, nil
+}
+
+type runCmd struct {
+	outputs
+	Scenario string `arg:"" type:"existingfile" help:"A scenario file, see scenarios/."`
+	Seeds    int    `default:"10" help:"Days."`
+	State    string `type:"path" help:"Keep each day that is done in this file, and go on where it ends."`
+}
+
+func (c *runCmd) Run() error {
+	run, err := obtain(c.Scenario, max(1, c.Seeds), c.State, interrupted())
+	if err != nil {
+		return err
+	}
+	printRun(os.Stdout, run)
+	return c.write([]*experiment.Run{run}, nil)
+}
+
+// printRun prints the means of a run, and the worst of what must not be.
+func printRun(w io.Writer, run *experiment.Run) {
+	n := float64(len(run.Days))
+	var p fleet.Parts
+	asked, tries, overdue, twice, deaths := 0, 0, 0, 0, 0
+	for _, d := range run.Days {
+		o := d.Outcome
+		p.Score += o.Score / n
+		p.Whole += o.Whole / n
+		p.WorstWindow += o.WorstWindow / n
+		p.WorstClass += o.WorstClass / n
+		p.WorstTeam += o.WorstTeam / n
+		asked, tries, overdue, twice, deaths = asked+o.Asked, tries+o.Tries, overdue+o.Overdue, twice+o.Twice, deaths+o.Deaths
+	}
+	fmt.Fprintf(w, "%s: score %.4f over %d days (whole %.4f, worst ten seconds %.4f, worst class %.4f, worst team %.4f)\n",
+		run.Name, p.Score, len(run.Days), p.Whole, p.WorstWindow, p.WorstClass, p.WorstTeam)
+	fmt.Fprintf(w, "%d requests counted, %d tries, %d boxes lost; rules broken: %d answers after their due time, %d second runs\n", asked, tries, deaths, overdue, twice)
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "of a day\tasked\tin time\tlate\trefused\tfailed\tmedian ms\t99th ms\tworth\t")
+	for _, of := range []func(*fleet.Outcome) []fleet.Group{func(o *fleet.Outcome) []fleet.Group { return o.Classes }, func(o *fleet.Outcome) []fleet.Group { return o.Teams }} {
+		for i, g := range of(run.Days[0].Outcome) {
+			var sum fleet.Group
+			for _, d := range run.Days {
+				x := of(d.Outcome)[i]
+				sum.Asked, sum.InTime, sum.Late, sum.Refused, sum.Failed = sum.Asked+x.Asked, sum.InTime+x.InTime, sum.Late+x.Late, sum.Refused+x.Refused, sum.Failed+x.Failed
+				sum.MedianMS, sum.P99MS, sum.Share = sum.MedianMS+x.MedianMS/n, sum.P99MS+x.P99MS/n, sum.Share+x.Share/n
+			}
+			m := len(run.Days)
+			fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%d\t%.0f\t%.0f\t%.3f\t\n", g.Name, sum.Asked/m, sum.InTime/m, sum.Late/m, sum.Refused/m, sum.Failed/m,
+				sum.MedianMS, sum.P99MS, sum.Share)
+		}
+	}
+	t.Flush()
+}
+
+type compareCmd struct {
+	outputs
+	A     string `arg:"" type:"existingfile" help:"A scenario file, or a run as --json wrote it (of another build, say)."`
+	B     string `arg:"" type:"existingfile" help:"The same."`
+	Seeds int    `default:"20" help:"Days of each."`
+	State string `type:"path" help:"Keep each day that is done in this file, and go on where it ends."`
+}
+
+func (c *compareCmd) Run() error {
+	stop := interrupted()
+	a, err := obtain(c.A, c.Seeds, c.State, stop)
+	if err != nil {
+		return err
+	}
+	b, err := obtain(c.B, c.Seeds, c.State, stop)
+	if err != nil {
+		return err
+	}
+	rows, err := experiment.Compare(a, b)
+	if err != nil {
+		return err
+	}
+	printRows(os.Stdout, rows)
+	return c.write([]*experiment.Run{a, b}, rows)
+}
+
+func printRows(w io.Writer, rows []experiment.Row) {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "\tA\tB\tB less A\t95% interval\tB is\t")
+	for _, r := range rows {
+		fmt.Fprintf(t, "%s\t%.4f\t%.4f\t%+.4f\t%+.4f to %+.4f\t%s\t\n", r.Name, r.A, r.B, r.Mean, r.Low, r.High, r.Verdict)
+	}
+	t.Flush()
+	fmt.Fprintln(w, experiment.Verdict(rows))
+}
+
+type sweepCmd struct {
+	Scenario string    `arg:"" type:"existingfile" help:"A scenario file."`
+	Key      string    `required:"" help:"The key, with dots: server.memory_mb, fleet.boxes, load."`
+	Values   []float64 `required:"" help:"Its values, with commas."`
+	Seeds    int       `default:"10" help:"Days of each."`
+	State    string    `type:"path" help:"Keep each day that is done in this file, and go on where it ends."`
+}
+
+func (c *sweepCmd) Run() error {
+	text, err := os.ReadFile(c.Scenario)
+	if err != nil {
+		return err
+	}
+	stop := interrupted()
+	base, err := experiment.Play(string(text), c.Seeds, c.State, stop, progress("as it is"))
+	if err != nil {
+		return err
+	}
+	t := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintf(t, "%s\tscore\tless as it is\t95%% interval\t\t\n", c.Key)
+	for _, v := range c.Values {
+		changed, err := set(string(text), c.Key, v)
+		if err != nil {
+			return err
+		}
+		run, err := experiment.Play(changed, c.Seeds, c.State, stop, progress(fmt.Sprint(c.Key, " = ", v)))
+		if err != nil {
+			return err
+		}
+		rows, err := experiment.Compare(base, run)
+		if err != nil {
+			return err
+		}
+		r := rows[0]
+		fmt.Fprintf(t, "%v\t%.4f\t%+.4f\t%+.4f to %+.4f\t%s\t\n", v, r.B, r.Mean, r.Low, r.High, r.Verdict)
+	}
+	return t.Flush()
+}
+
+// set puts a value into a scenario's text. A whole number stays one.
+func set(text, key string, value float64) (string, error) {
+	var tree map[string]any
+	if _, err := toml.Decode(text, &tree); err != nil {
+		return "", err
+	}
+	at := tree
+	parts := strings.Split(key, ".")
+	for _, part := range parts[:len(parts)-1] {
+		next, ok := at[part].(map[string]any)
+		if !ok {
+			if at[part] != nil {
+				return "", fmt.Errorf("%s is no table of the scenario", part)
+			}
+			next = map[string]any{}
+			at[part] = next
+		}
+		at = next
+	}
+	if value == float64(int64(value)) {
+		at[parts[len(parts)-1]] = int64(value)
+	} else {
+		at[parts[len(parts)-1]] = value
+	}
+	var out strings.Builder
+	if err := toml.NewEncoder(&out).Encode(tree); err != nil {
+		return "", err
+	}
+	_, _, err := fleet.Parse(out.String())
+	return out.String(), err
+}
+
+type reportCmd struct {
+	Run_ []string `arg:"" name:"run" type:"existingfile" help:"One run as --json wrote it, or two to compare."`
+	HTML string   `default:"report.html" type:"path" help:"The file."`
+}
+
+func (c *reportCmd) Run() error {
+	var runs []*experiment.Run
+	for _, path := range c.Run_ {
+		run, err := obtain(path, 1, "", nil)
+		if err != nil {
+			return err
+		}
+		printRun(os.Stdout, run)
+		runs = append(runs, run)
+	}
+	var rows []experiment.Row
+	if len(runs) == 2 {
+		var err error
+		if rows, err = experiment.Compare(runs[0], runs[1]); err != nil {
+			return err
+		}
+		printRows(os.Stdout, rows)
+	}
+	return (&outputs{HTML: c.HTML}).write(runs, rows)
+}
--- a/internal/lab/fleet/callers.go
+++ b/internal/lab/fleet/callers.go
@@ -158,6 +158,14 @@
 	w.Tries++
 	m.open++
 	at := w.now + w.day.Delay
+	if m.remote != nil {
+		m.stream++
+		m.tries[m.stream] = t
+		m.remote.Send(Sent{ID: m.stream, Class: r.class, Team: r.team, Caller: r.caller, Key: r.name, Subject: r.subject,
+			Wait: r.due - w.now, Work: r.work})
+		w.hasten(t)
+		return
+	}
 	i := len(m.inbox)
 	m.inbox = append(m.inbox, arrival{})
 	for i > 0 && m.inbox[i-1].at > at {
@@ -166,6 +174,12 @@
 	}
 	m.inbox[i] = arrival{at, t}
 	w.places.set(b, m.next())
+	w.hasten(t)
+}
+
+// hasten lets a hasty caller try another box after a while.
+func (w *world) hasten(t *try) {
+	r := t.r
 	if c := &w.day.Callers[r.caller]; c.Hasty > 0 && r.tries < c.Tries {
 		w.after(w.now+c.Hasty, func() {
 			if !r.over && t.lively && w.now < r.due {
@@ -226,8 +240,7 @@
 			w.after(at, func() {
 				if !m.dead {
 					m.leaving = true
-					m.core.Drain(w.now, w.now+drainFor)
-					w.places.set(m.number, w.now)
+					m.drain()
 				}
 			})
 			w.after(at+drainFor, func() {
@@ -238,8 +251,20 @@
 	}
 }
 
+// drain gives the notice to leave.
+func (m *machine) drain() {
+	if m.remote != nil {
+		m.remote.Drain()
+		return
+	}
+	m.core.Drain(m.w.now, m.w.now+drainFor)
+	m.w.places.set(m.number, m.w.now)
+}
+
 func (m *machine) scale(factor float64) {
-	if !m.dead {
+	if m.remote != nil {
+		m.remote.Scale(factor)
+	} else if !m.dead {
 		m.box.Scale(m.w.now, factor)
 		m.w.places.set(m.number, m.next())
 	}
@@ -250,6 +275,10 @@
 	if m.dead {
 		return
 	}
+	if m.remote != nil {
+		m.remote.Pause(span)
+		return
+	}
 	m.box.Scale(m.w.now, 0)
 	m.paused = m.w.now + span
 	life := m.life
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -71,6 +71,10 @@
 	Deploy                    // drained and replaced cold one after the other, within For
 )
 
+func (k FailureKind) String() string {
+	return [...]string{"die", "slow", "pause", "deploy"}[min(k, Deploy)]
+}
+
 // Failure is one thing that goes wrong.
 type Failure struct {
 	Kind   FailureKind
@@ -149,6 +153,7 @@
 	stream  uint32
 	open    int // tries without an answer, as callers count them
 	ran     map[string]int64
+	remote  Remote // the real program, on loopback; nil = emulated
 }
 
 // timer is what a caller or the day wants to be called for.
@@ -186,16 +191,39 @@
 	if err := day.check(); err != nil {
 		return nil, err
 	}
-	w := &world{day: &day, now: epoch, pick: rand.New(rand.NewPCG(day.Seed, 99))}
+	w, err := newWorld(&day, nil)
+	if err != nil {
+		return nil, err
+	}
+	end := epoch + day.Length
+	for {
+		who, at := w.places.first()
+		if at == math.MaxInt64 || at > end+30*Second {
+			break
+		}
+		w.now = max(w.now, at)
+		w.step(who)
+		if w.now > end && w.score.open == 0 {
+			break
+		}
+	}
+	w.score.finish(&w.Outcome)
+	return &w.Outcome, nil
+}
+
+// newWorld prepares a day. With remotes its boxes are real programs.
+func newWorld(day *Day, remotes []Remote) (*world, error) {
+	w := &world{day: day, now: epoch, pick: rand.New(rand.NewPCG(day.Seed, 99))}
 	w.Outcome.Boxes = day.Boxes
-	w.score.start(&day)
-	speeds := rand.New(rand.NewPCG(day.Seed, 98))
+	w.score.start(day)
 	total := 0.0
-	for i := range day.Boxes {
-		m := &machine{w: w, number: i, ran: map[string]int64{}}
-		m.speed = 1 + day.Spread*(2*speeds.Float64()-1)
-		total += m.speed
-		if err := m.start(false); err != nil {
+	for i, speed := range day.Speeds() {
+		m := &machine{w: w, number: i, ran: map[string]int64{}, speed: speed}
+		total += speed
+		if remotes != nil {
+			m.remote = remotes[i]
+			m.life, m.tries = 1, map[uint32]*try{}
+		} else if err := m.start(false); err != nil {
 			return nil, err
 		}
 		w.boxes = append(w.boxes, m)
@@ -212,34 +240,37 @@
 		w.places.set(day.Boxes+i, w.streams[i].next)
 	}
 	w.rest()
-	end := epoch + day.Length
-	for {
-		who, at := w.places.first()
-		if at == math.MaxInt64 || at > end+30*Second {
-			break
-		}
-		w.now = max(w.now, at)
-		switch {
-		case who < day.Boxes:
-			w.boxes[who].play()
-			w.places.set(who, w.boxes[who].next())
-		case who < day.Boxes+len(w.streams):
-			w.ask(who - day.Boxes)
-			w.places.set(who, w.streams[who-day.Boxes].next)
-		default:
-			for len(w.agenda) > 0 && w.agenda[0].at <= w.now {
-				what := w.agenda[0].what
-				w.agenda = w.agenda[1:]
-				what()
-			}
-			w.rest()
-		}
-		if w.now > end && w.score.open == 0 {
-			break
+	return w, nil
+}
+
+// step lets one party do what is due for it.
+func (w *world) step(who int) {
+	boxes := w.day.Boxes
+	switch {
+	case who < boxes:
+		w.boxes[who].play()
+		w.places.set(who, w.boxes[who].next())
+	case who < boxes+len(w.streams):
+		w.ask(who - boxes)
+		w.places.set(who, w.streams[who-boxes].next)
+	default:
+		for len(w.agenda) > 0 && w.agenda[0].at <= w.now {
+			what := w.agenda[0].what
+			w.agenda = w.agenda[1:]
+			what()
 		}
+		w.rest()
 	}
-	w.score.finish(&w.Outcome)
-	return &w.Outcome, nil
+}
+
+// Speeds are those of the boxes, over the mean.
+func (d *Day) Speeds() []float64 {
+	rng := rand.New(rand.NewPCG(d.Seed, 98))
+	list := make([]float64, d.Boxes)
+	for i := range list {
+		list[i] = 1 + d.Spread*(2*rng.Float64()-1)
+	}
+	return list
 }
 
 // after puts something on the agenda.
@@ -286,7 +317,7 @@
 
 // next is when the box wants to be played.
 func (m *machine) next() int64 {
-	if m.dead {
+	if m.dead || m.remote != nil {
 		return math.MaxInt64
 	}
 	at := int64(math.MaxInt64)
@@ -381,7 +412,11 @@
 		lost = append(lost, a.t)
 	}
 	m.tries, m.inbox, m.live = map[uint32]*try{}, nil, map[uint64]*core.Request{}
-	m.box.Die(m.w.now)
+	if m.remote != nil {
+		m.remote.Die()
+	} else {
+		m.box.Die(m.w.now)
+	}
 	m.w.places.set(m.number, math.MaxInt64)
 	for _, t := range lost {
 		if t.lively {
@@ -396,6 +431,12 @@
 	if !m.dead {
 		return
 	}
+	if m.remote != nil {
+		m.life++
+		m.dead, m.leaving, m.open = false, false, 0
+		m.remote.Back(f.Factor, f.Warm)
+		return
+	}
 	if err := m.start(true); err != nil {
 		panic(err) // the settings were good before
 	}
--- /dev/null
+++ b/internal/lab/live/live.go
@@ -0,0 +1,387 @@
+package live
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"kiteslip"
+	"kiteslip/internal/core"
+	"kiteslip/internal/frame"
+	"kiteslip/internal/lab/fleet"
+	"kiteslip/internal/standin/box"
+)
+
+// Fleet is a fleet of real programs for one day.
+type Fleet struct {
+	Replies chan fleet.Reply
+	day     *fleet.Day
+	path    string
+	dir     string
+	boxes   []*remote
+	names   atomic.Uint64
+}
+
+// remote is one box: a process, its engine and the callers' connections to it.
+type remote struct {
+	f      *Fleet
+	number int
+	listen string
+	speed  float64
+
+	mu      sync.Mutex
+	engine  *box.Engine
+	program *Program
+	free    []*conn // with room for another request
+	conns   map[*conn]struct{}
+	life    int
+}
+
+// conn is one connection of the callers to a box.
+type conn struct {
+	net.Conn
+	b      *remote
+	life   int
+	stream uint32
+	open   map[uint32]uint32 // by stream: the try
+	gone   bool
+	away   bool
+	listed bool // among the free ones
+}
+
+// backlog is how many answers may wait for the loop that plays the day.
+const backlog = 1 << 16
+
+// Launch starts the boxes of a day; speeds lie as Play has them.
+func Launch(path string, day *fleet.Day) (*Fleet, error) {
+	dir, err := os.MkdirTemp("", "kitelab")
+	if err != nil {
+		return nil, err
+	}
+	f := &Fleet{Replies: make(chan fleet.Reply, backlog), day: day, path: path, dir: dir}
+	for i, speed := range day.Speeds() {
+		b := &remote{f: f, number: i, speed: speed, conns: map[*conn]struct{}{}}
+		f.boxes = append(f.boxes, b)
+	}
+	errs := make([]error, len(f.boxes))
+	var all sync.WaitGroup
+	for i, b := range f.boxes {
+		all.Go(func() {
+			if b.listen, errs[i] = FreeAddress(); errs[i] == nil {
+				errs[i] = b.start()
+			}
+		})
+	}
+	all.Wait()
+	if err := errors.Join(errs...); err != nil {
+		f.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
+// Remotes are the boxes, for fleet.Live.
+func (f *Fleet) Remotes() []fleet.Remote {
+	list := make([]fleet.Remote, len(f.boxes))
+	for i, b := range f.boxes {
+		list[i] = b
+	}
+	return list
+}
+
+// Close ends all processes.
+func (f *Fleet) Close() {
+	var all sync.WaitGroup
+	for _, b := range f.boxes {
+		all.Go(b.Die)
+	}
+	all.Wait()
+	os.RemoveAll(f.dir) //nolint:errcheck // a folder of the system's for passing files
+}
+
+// settings words the module's settings for the program.
+func (f *Fleet) settings(listen, engine string) ([]byte, error) {
+	m := &f.day.Module
+	var classes, tenants []any
+	effects := map[kiteslip.Effect]string{kiteslip.Repeatable: "repeatable", kiteslip.Keyed: "by_key"}
+	for i := range f.day.Classes {
+		c := &f.day.Classes[i]
+		classes = append(classes, map[string]any{"name": c.Name, "effect": effects[c.Effect], "on_time_us": c.Aim, "hard_limit_us": c.Limit,
+			"window_us": c.Window, "worth": c.Worth, "late_worth": c.LateWorth})
+	}
+	for i := range f.day.Teams {
+		tenants = append(tenants, map[string]any{"name": f.day.Teams[i].Name, "quota_per_s": m.Tenants[i].Quota})
+	}
+	return json.Marshal(map[string]any{
+		"name": "lab", "listen": listen, "engine": engine, "seed": "1", "stop_ms": 3500,
+		"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024},
+		"settings": map[string]any{
+			"classes": classes, "tenants": tenants,
+			"ceilings":    map[string]any{"retry_after": m.MaxRetryAfter > 0, "max_retry_after_us": m.MaxRetryAfter},
+			"family_info": map[string]any{"cores": m.Cores, "memory_kb": m.MemoryKB, "blowup": m.RunFactor, "key_kb": m.KeyKB, "idle_us": 60_000_000, "callers": len(f.day.Callers)},
+			"goal": map[string]any{"whole": m.Goal.Whole, "worst_class": m.Goal.WorstClass, "worst_tenant": m.Goal.WorstTenant,
+				"worst_window": m.Goal.WorstWindow},
+			"rules":            map[string]any{"answer_slack_us": m.AnswerSlack, "drain_grace_us": m.DrainGrace, "fall_multiple": m.CrowdMultiple, "fall_us": m.CrowdOver},
+			"over_share_worth": m.OverShareWorth, "worth_by": "work", "tick_us": m.Tick, "group_size": f.day.Boxes,
+		},
+	})
+}
+
+// operator words the pools for the program.
+func (f *Fleet) operator() string {
+	p := f.day.Pools
+	if p == nil {
+		return ""
+	}
+	text := fmt.Sprintf("[pools]\ncheap_reserve = %f\n", p.CheapReserve)
+	for i := range p.Pools {
+		s := &p.Pools[i]
+		classes := ""
+		for _, c := range s.Classes {
+			classes += strconv.Quote(f.day.Classes[c].Name) + ", "
+		}
+		text += fmt.Sprintf("[[pool]]\nname = %q\nclasses = [%s]\nshare = %f\nmost = %f\nreserve = %f\n", s.Name, classes, s.Share, s.Most, s.Reserve)
+	}
+	return text
+}
+
+// start begins a life of the box.
+func (b *remote) start() error {
+	spec := b.f.day.Box
+	spec.Speed *= b.speed
+	engine, err := box.Serve(spec)
+	if err != nil {
+		return err
+	}
+	text, err := b.f.settings(b.listen, engine.Address)
+	if err != nil {
+		return err
+	}
+	dir := filepath.Join(b.f.dir, strconv.Itoa(b.number))
+	if err = os.MkdirAll(dir, 0o700); err != nil {
+		return err
+	}
+	program, err := Start(b.f.path, dir, b.listen, text, b.f.operator())
+	if err != nil {
+		engine.Close()
+		return err
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.engine, b.program = engine, program
+	b.life++
+	return nil
+}
+
+// Die ends the box at once.
+func (b *remote) Die() {
+	b.mu.Lock()
+	engine, program := b.engine, b.program
+	b.engine, b.program = nil, nil
+	conns := b.conns
+	b.conns, b.free = map[*conn]struct{}{}, nil
+	b.mu.Unlock()
+	if program != nil {
+		program.Process.Signal(syscall.SIGCONT) //nolint:errcheck // it may not be paused
+		program.Kill()
+	}
+	if engine != nil {
+		engine.Close()
+	}
+	for c := range conns {
+		c.Close()
+	}
+}
+
+// Back starts it anew, cold.
+func (b *remote) Back(factor float64, warm int64) {
+	go func() {
+		if err := b.start(); err != nil {
+			fmt.Fprintln(os.Stderr, "kitelab: box", b.number, "does not come back:", err)
+			return
+		}
+		b.change(func(x *box.Box, now int64) { x.Cold(now, factor, warm) })
+	}()
+}
+
+func (b *remote) change(f func(*box.Box, int64)) {
+	b.mu.Lock()
+	engine := b.engine
+	b.mu.Unlock()
+	if engine != nil {
+		engine.Change(f)
+	}
+}
+
+// Scale sets the speed to a part of the usual.
+func (b *remote) Scale(factor float64) {
+	b.change(func(x *box.Box, now int64) { x.Scale(now, factor) })
+}
+
+// Pause stops the process and the cores for a while.
+func (b *remote) Pause(span int64) {
+	b.mu.Lock()
+	program, life := b.program, b.life
+	b.mu.Unlock()
+	if program == nil {
+		return
+	}
+	b.Scale(0)
+	program.Process.Signal(syscall.SIGSTOP) //nolint:errcheck // it may have ended
+	time.AfterFunc(time.Duration(span)*time.Microsecond, func() {
+		b.mu.Lock()
+		same := b.life == life && b.program != nil
+		b.mu.Unlock()
+		if same {
+			program.Process.Signal(syscall.SIGCONT) //nolint:errcheck // it may have ended
+			b.Scale(1)
+		}
+	})
+}
+
+// Drain gives the notice to leave.
+func (b *remote) Drain() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.program != nil {
+		b.program.Process.Signal(syscall.SIGTERM) //nolint:errcheck // it may have ended
+	}
+}
+
+// take returns a connection with room, a new one if there is none.
+func (b *remote) take() (*conn, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for len(b.free) > 0 {
+		c := b.free[len(b.free)-1]
+		if !c.gone && !c.away && len(c.open) < frame.MaxStreams-1 {
+			return c, nil
+		}
+		c.listed = false
+		b.free = b.free[:len(b.free)-1]
+	}
+	if b.program == nil {
+		return nil, errors.New("the box is dead")
+	}
+	nc, err := net.DialTimeout("tcp", b.listen, time.Second)
+	if err != nil {
+		return nil, err
+	}
+	c := &conn{Conn: nc, b: b, life: b.life, open: map[uint32]uint32{}, listed: true}
+	b.conns[c] = struct{}{}
+	b.free = append(b.free, c)
+	go c.read()
+	return c, nil
+}
+
+// Send sends a try; it fails, as an answer, where the box can't be reached.
+func (b *remote) Send(s fleet.Sent) {
+	c, err := b.take()
+	if err != nil {
+		b.f.reply(b.number, s.ID, core.Answer{Code: core.Failed})
+		return
+	}
+	day := b.f.day
+	class := &day.Classes[s.Class]
+	fields := []frame.Field{{Name: "kind", Value: class.Name}, {Name: "owner", Value: day.Teams[s.Team].Name},
+		{Name: "req", Value: fmt.Sprintf("%016x", b.f.names.Add(1))}, {Name: "via", Value: strconv.Itoa(s.Caller + 1)},
+		{Name: "ts", Value: strconv.FormatInt(time.Now().UnixMilli(), 10)},
+		{Name: "timeout", Value: strconv.FormatInt(max(1, s.Wait/1000), 10)},
+		{Name: "ms", Value: strconv.FormatFloat(s.Work/1000, 'f', 1, 64)}, {Name: "need", Value: "16"}, {Name: "level", Value: "0.5"},
+		{Name: "subject", Value: fmt.Sprintf("%016x", s.Subject)}}
+	if class.Effect == kiteslip.Keyed {
+		fields = append(fields, frame.Field{Name: "opkey", Value: s.Key})
+	}
+	b.mu.Lock()
+	c.stream++
+	stream := c.stream
+	c.open[stream] = s.ID
+	b.mu.Unlock()
+	if _, err := c.Write(frame.AppendRequest(nil, stream, fields, strconv.AppendInt(nil, int64(s.Work), 10))); err != nil {
+		c.Close() // its reader answers what is open
+	}
+}
+
+func (f *Fleet) reply(b int, id uint32, a core.Answer) {
+	select {
+	case f.Replies <- fleet.Reply{Box: b, ID: id, Answer: a}:
+	default: // the day is over, and nobody takes them any more
+	}
+}
+
+// read passes answers on until the connection ends; what is open then has failed.
+func (c *conn) read() {
+	var buf []byte
+	chunk := make([]byte, 32<<10)
+	for {
+		n, err := c.Read(chunk)
+		buf = append(buf, chunk[:n]...)
+		for {
+			f, used, bad := frame.Split(buf)
+			if bad != nil || used == 0 {
+				break
+			}
+			c.take(f)
+			buf = buf[used:]
+		}
+		if err != nil {
+			break
+		}
+	}
+	c.Close()
+	c.b.mu.Lock()
+	c.gone = true
+	delete(c.b.conns, c)
+	open := c.open
+	c.open = nil
+	c.b.mu.Unlock()
+	for _, id := range open {
+		c.b.f.reply(c.b.number, id, core.Answer{Code: core.Failed})
+	}
+}
+
+func (c *conn) take(f frame.Frame) {
+	c.b.mu.Lock()
+	if f.Type == frame.GoAway {
+		c.away = true
+	}
+	id, known := c.open[f.Stream]
+	if f.Type == frame.Answer {
+		delete(c.open, f.Stream)
+		if known && !c.away && !c.listed {
+			c.listed = true
+			c.b.free = append(c.b.free, c)
+		}
+	}
+	c.b.mu.Unlock()
+	if f.Type != frame.Answer || !known || len(f.Payload) == 0 {
+		return
+	}
+	a := core.Answer{Code: core.Failed}
+	switch f.Payload[0] {
+	case frame.Served:
+		a.Code = core.Served
+	case frame.Refused:
+		a.Code = core.Refused
+		if fields, _, err := frame.ParseFields(f.Payload[1:]); err == nil {
+			for name, value := range fields.All {
+				switch string(name) {
+				case "holdoff":
+					ms, _ := strconv.ParseInt(string(value), 10, 64)
+					a.HoldOff = ms * 1000
+				case "nomore":
+					a.NoMore = true
+				}
+			}
+		}
+	}
+	c.b.f.reply(c.b.number, id, a)
+}
--- a/cmd/kitelab/program.go
+++ b/internal/lab/live/program.go
@@ -1,4 +1,7 @@
-package main
+// Package live runs days of internal/lab/fleet against the real program on
+// loopback: a process for each box, an emulated engine behind it, and callers
+// that send when they mean to, whatever becomes of what they sent before.
+package live
 
 import (
 	"fmt"
@@ -12,12 +15,12 @@
 	"time"
 )
 
-// program is a process of the real program.
-type program struct{ *exec.Cmd }
+// Program is a process of the real program.
+type Program struct{ *exec.Cmd }
 
-// startProgram starts the program with a platform's file and, unless it is
+// Start starts the program with a platform's file and, unless it is
 // empty, an operator's file, and waits until it takes connections.
-func startProgram(path, dir, listen string, settings []byte, operator string) (*program, error) {
+func Start(path, dir, listen string, settings []byte, operator string) (*Program, error) {
 	file := filepath.Join(dir, "config.json")
 	if err := os.WriteFile(file, settings, 0o600); err != nil {
 		return nil, err
@@ -30,9 +33,10 @@
 		}
 		args = append(args, "--operator", over)
 	}
-	p := &program{exec.Command(path, args...)}
+	p := &Program{exec.Command(path, args...)}
 	p.Env = append(os.Environ(), "EDGE_CONFIG="+file, "TMPDIR="+dir)
 	p.Stderr = os.Stderr
+	p.SysProcAttr = &syscall.SysProcAttr{Setpgid: true} // ctrl-C is for who plays, who then ends it
 	if err := p.Start(); err != nil {
 		return nil, err
 	}
@@ -43,22 +47,24 @@
 		}
 		time.Sleep(time.Millisecond)
 	}
-	p.kill()
+	p.Kill()
 	return nil, fmt.Errorf("the program does not listen on %s", listen)
 }
 
-func (p *program) kill() {
+// Kill ends the process at once.
+func (p *Program) Kill() {
 	p.Process.Kill() //nolint:errcheck // it may have ended
 	p.Wait()         //nolint:errcheck // it was killed
 }
 
-func (p *program) stop() {
+// Stop lets the process drain and end.
+func (p *Program) Stop() {
 	p.Process.Signal(syscall.SIGTERM) //nolint:errcheck // it may have ended
 	p.Wait()                          //nolint:errcheck // its answers were counted
 }
 
-// peakKB is the most memory that the process has had in use.
-func (p *program) peakKB() (int, error) {
+// PeakKB is the most memory that the process has had in use.
+func (p *Program) PeakKB() (int, error) {
 	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.Process.Pid))
 	if err != nil {
 		return 0, err
@@ -71,7 +77,8 @@
 	return 0, fmt.Errorf("/proc/%d/status does not tell the memory", p.Process.Pid)
 }
 
-func freeAddress() (string, error) {
+// FreeAddress is a loopback address that nothing listens on.
+func FreeAddress() (string, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return "", err
