Boxes that fall over when crowded, speak uwsgi, and a subject that is poison

The emulated box averages its runs over 1.5 s and falls beyond a bound; a program that is told of it keeps under, one that is not loses boxes. The same cores serve uwsgi calls beside the engine's protocol.

--- a/internal/lab/fleet/callers.go
+++ b/internal/lab/fleet/callers.go
@@ -86,6 +86,9 @@
 	} else {
 		r.subject = 1 + s.rng.Uint64N(max(1, w.day.Subjects))
 	}
+	if r.subject == 1 && w.day.Poison > 0 {
+		r.work *= w.day.Poison
+	}
 	w.names++
 	r.name = "r" + strconv.FormatUint(w.names, 16)
 	s.next = w.draw(s, s.next)
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -100,6 +100,7 @@
 	Shape    []Point
 	Skew     float64 // of the subjects, a Zipf exponent above 1; 0 = all alike
 	Subjects uint64
+	Poison   float64 // work for the most popular subject, over the usual; 0 = as for others
 	Failures []Failure
 	Length   int64
 	From     int64 // what came before is not counted
@@ -107,7 +108,12 @@
 	Delay    int64 // one way between callers and boxes
 }
 
-const drainFor = 3_000_000 // from the notice to leave to the end, in a deploy
+const (
+	drainFor   = 3_000_000 // from the notice to leave to the end, in a deploy
+	fallenFor  = 6_000_000 // a box that fell over is back after this
+	fallenCold = 0.21      // ... at this part of its speed
+	fallenWarm = 17_000_000
+)
 
 // request is one request of a client, all tries together.
 type request struct {
@@ -349,6 +355,11 @@
 		m.take(a)
 	}
 	m.core.Step(now)
+	if m.box.Fallen() {
+		m.w.Fallen++
+		m.die()
+		m.w.after(now+fallenFor, func() { m.back(&Failure{Factor: fallenCold, Warm: fallenWarm}) })
+	}
 }
 
 // take hands a try to the core.
--- a/internal/lab/fleet/fleet_test.go
+++ b/internal/lab/fleet/fleet_test.go
@@ -172,3 +172,27 @@
 		}
 	}
 }
+
+// Boxes that fall over when crowded do so under a program that is not told of
+// it, and do not under one that is.
+func TestBoxesFallOver(t *testing.T) {
+	t.Parallel()
+	fallen := func(told float64) float64 {
+		return mean(t, "month-end", func(d *Day) {
+			d.Box.Falls, d.Module.CrowdMultiple, d.Load = 2, told, 1.2
+		}, func(o *Outcome) float64 { return float64(o.Fallen) })
+	}
+	if untold, told := fallen(0), fallen(2); untold == 0 || told > 0 {
+		t.Errorf("%.1f boxes fall over where the program is not told, %.1f where it is", untold, told)
+	}
+}
+
+// A poisonous subject hurts requests that are not about it.
+func TestPoisonousSubject(t *testing.T) {
+	t.Parallel()
+	with := mean(t, "poison-subject", nil, worst)
+	without := mean(t, "poison-subject", func(d *Day) { d.Poison = 0 }, worst)
+	if with >= without {
+		t.Errorf("the worst ten seconds are %.3f with a poisonous subject and %.3f without", with, without)
+	}
+}
--- a/internal/lab/fleet/score.go
+++ b/internal/lab/fleet/score.go
@@ -31,6 +31,7 @@
 // Outcome is what became of a day.
 type Outcome struct {
 	Boxes, Asked, Tries, Runs, Deaths int
+	Fallen                            int // boxes that fell over
 	Overdue, Twice                    int // rules broken: answers after their due time, second runs of a key on one box
 	Parts
 	Classes, Teams []Group
@@ -184,6 +185,7 @@
 	}
 	want(d.Boxes > 0 && d.Boxes <= mostBoxes, "boxes", d.Boxes, "1 to 10,000")
 	want(d.Box.Cores > 0, "cores", d.Box.Cores, "above 0")
+	want(d.Box.Falls >= 0 && d.Box.Falls < 1e6, "falls", d.Box.Falls, "0 or more")
 	want(d.Box.Speed > 0 && d.Box.Speed < 1e6, "speed", d.Box.Speed, "above 0")
 	want(d.Spread >= 0 && d.Spread < 1, "spread", d.Spread, "0 to below 1")
 	want(d.Load > 0 && d.Load <= 100, "load", d.Load, "above 0 and at most 100")
@@ -191,6 +193,7 @@
 	want(d.From >= 0 && d.From < d.Length, "from", d.From, "less than the length")
 	want(d.Skew == 0 || d.Skew > 1 && d.Skew < 10, "skew", d.Skew, "0, or above 1 and below 10")
 	want(d.Subjects > 0 && d.Subjects <= mostSubject, "subjects", d.Subjects, "1 to 2^32")
+	want(d.Poison >= 0 && d.Poison <= 1000, "poison", d.Poison, "0 to 1,000")
 	want(d.Delay >= 0 && d.Delay <= Second, "delay", d.Delay, "0 to a second")
 	want(len(d.Classes) > 0, "classes", len(d.Classes), "one at least")
 	want(len(d.Classes) == len(d.Module.Classes), "classes", len(d.Classes), "those of the module")
--- a/internal/standin/box/box.go
+++ b/internal/standin/box/box.go
@@ -5,7 +5,10 @@
 // measurement: processor sharing (Kleinrock 1967) with a loss per excess run.
 package box
 
-import "container/heap"
+import (
+	"container/heap"
+	"math"
+)
 
 // Spec describes a box.
 type Spec struct {
@@ -13,8 +16,12 @@
 	Speed float64 // work done in a second by one core; 1 = the yardstick
 	Knee  float64 // runs a core beyond which the cores get less done; 0 = never
 	Loss  float64 // part of the throughput lost for each run a core beyond the knee
+	Falls float64 // runs a core, in the mean of FallsOver, beyond which it falls over; 0 = never
 }
 
+// fallsOver is the time over which runs are averaged before a box falls, microseconds.
+const fallsOver = 1_500_000
+
 // End is a run that is over.
 type End struct {
 	ID    uint64
@@ -31,6 +38,8 @@
 	coldAt   int64
 	warmAt   int64 // 0 = warm
 	share    float64
+	crowd    float64 // runs a core, in the fading mean of fallsOver
+	fallen   bool
 	runs     runs
 	ends     []End
 }
@@ -131,10 +140,12 @@
 func (b *Box) to(now int64) {
 	for b.now < now {
 		if len(b.runs) == 0 {
+			b.crowded(now - b.now)
 			b.now = now
 			return
 		}
 		at := min(now, b.look())
+		b.crowded(at - b.now)
 		b.share += float64(at-b.now) * b.rate(b.now)
 		b.now = at
 		for len(b.runs) > 0 && b.runs[0].finish <= b.share+0.5 {
@@ -144,6 +155,20 @@
 	}
 }
 
+// crowded takes the runs of a span into the mean.
+func (b *Box) crowded(span int64) {
+	if b.spec.Falls <= 0 {
+		return
+	}
+	runs := float64(len(b.runs)) / float64(b.spec.Cores)
+	b.crowd += (runs - b.crowd) * -math.Expm1(-float64(span)/fallsOver)
+	b.fallen = b.fallen || b.crowd > b.spec.Falls
+}
+
+// Fallen says whether too many runs have shared the cores for too long. What a
+// fallen box does next is its owner's matter.
+func (b *Box) Fallen() bool { return b.fallen }
+
 // Advance moves the box to now and returns what has ended since the last call,
 // in order. The slice is the caller's until the next call.
 func (b *Box) Advance(now int64) []End {
--- a/internal/standin/box/box_test.go
+++ b/internal/standin/box/box_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"kiteslip/internal/uwsgi"
 )
 
 // Whatever is begun, and however the speed changes: each run gets the work done
@@ -120,3 +122,62 @@
 	expect(r, "HELLO hot")
 	expect(r, "DONE 2 a complete")
 }
+
+// Two faces, one set of cores: what comes by uwsgi shares them with the engine's runs.
+func TestEngineSpeaksUWSGI(t *testing.T) {
+	t.Parallel()
+	e, err := Serve(Spec{Cores: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer e.Close()
+	address, err := e.ServeUWSGI()
+	if err != nil {
+		t.Fatal(err)
+	}
+	took := make(chan time.Duration, 2)
+	for range 2 {
+		go func() {
+			began := time.Now()
+			c, err := net.Dial("tcp", address)
+			if err != nil {
+				t.Error(err)
+				took <- 0
+				return
+			}
+			defer c.Close()
+			packet, err := uwsgi.AppendRequest(nil, []uwsgi.Var{{Name: uwsgi.VarLength, Value: "5"}})
+			if err != nil {
+				t.Error(err)
+			}
+			c.Write(append(packet, "50000"...)) //nolint:errcheck // a missing answer shows
+			answer, err := io.ReadAll(c)
+			if err != nil || !strings.HasPrefix(string(answer), "HTTP/1.1 200") || !strings.HasSuffix(string(answer), "\r\n\r\n50000") {
+				t.Errorf("%q, %v", answer, err)
+			}
+			took <- time.Since(began)
+		}()
+	}
+	if a, b := <-took, <-took; max(a, b) < 95*time.Millisecond {
+		t.Errorf("two calls of 50 ms on one core took %v and %v", a, b)
+	}
+}
+
+// A box falls over when too many runs share its cores for too long, not before.
+func TestFallsOver(t *testing.T) {
+	t.Parallel()
+	for runs, falls := range map[uint64]bool{6: false, 12: true} {
+		b := New(Spec{Cores: 1, Falls: 8}, 0)
+		for id := range runs {
+			b.Begin(0, id, 1e9)
+		}
+		b.Advance(500_000)
+		if b.Fallen() {
+			t.Errorf("%d runs: it falls within half a second", runs)
+		}
+		b.Advance(10_000_000)
+		if b.Fallen() != falls {
+			t.Errorf("%d runs a core: fallen %v", runs, b.Fallen())
+		}
+	}
+}
--- a/internal/standin/box/engine.go
+++ b/internal/standin/box/engine.go
@@ -20,6 +20,7 @@
 	Address string
 
 	l     net.Listener
+	web   net.Listener // of uwsgi; nil = none
 	mu    sync.Mutex
 	cond  *sync.Cond
 	box   *Box
@@ -38,6 +39,7 @@
 type running struct {
 	name string
 	body []byte
+	done chan struct{} // of a call by uwsgi; nil = the engine's own protocol
 }
 
 const (
@@ -75,6 +77,9 @@
 	e.l.Close()
 	e.mu.Lock()
 	e.done = true
+	if e.web != nil {
+		e.web.Close()
+	}
 	e.timer.Stop()
 	e.cond.Broadcast()
 	e.mu.Unlock()
@@ -114,6 +119,10 @@
 }
 
 func (e *Engine) end(r running, took int64) {
+	if r.done != nil {
+		close(r.done)
+		return
+	}
 	delete(e.names, r.name)
 	e.sent++
 	notice := fmt.Appendf(nil, "DONE %d %s complete %d %d\r\n%s\r\n", e.sent, r.name, took/1000, len(r.body), r.body)
@@ -228,12 +237,12 @@
 	}
 	if work := Work(body); work > 0 {
 		e.next++
-		e.live[e.next] = running{name, body}
+		e.live[e.next] = running{name: name, body: body}
 		e.box.Begin(clock(), e.next, work)
 		e.settle()
 		return
 	}
-	e.end(running{name, body}, 0)
+	e.end(running{name: name, body: body}, 0)
 }
 
 // Work is what a body states as its work, in microseconds.
