--- a/cmd/kiteslip/keys_test.go
+++ b/cmd/kiteslip/keys_test.go
@@ -179,3 +179,47 @@
 		t.Errorf("an empty folder: %v", err)
 	}
 }
+
+// A process that owns a store is killed where another could take its place, and
+// once while that one waits for it: the next opens the store as soon as the dead
+// one's lock is free, gives its results, and runs none of its keys again.
+func TestOwnerOfAStoreDies(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	clients, dir := l.(*net.TCPListener), t.TempDir()
+	over := filepath.Join(dir, "operator.toml")
+	if err := os.WriteFile(over, []byte(fmt.Sprintf("[keys]\nfolder = %q\ndurability = \"process\"\n", filepath.Join(dir, "keys"))), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	t.Setenv("KITESLIP_OPERATOR", over)
+	old := launch(t, clients, dir)
+	if code := old.ask("note", "first", "b", 1); code != frame.Served {
+		t.Fatalf("code %d", code)
+	}
+	old.kill()
+	next := launch(t, clients, dir)
+	if code := next.ask("note", "first", "b", 2); code != frame.Served {
+		t.Errorf("after the owner died: code %d", code)
+	}
+	if code := next.ask("note", "second", "b", 3); code != frame.Served { // no window of doubt: the store knows all
+		t.Errorf("a new key after the owner died: code %d", code)
+	}
+	third := launch(t, clients, dir)
+	next.kill()
+	for began := time.Now(); ; time.Sleep(20 * time.Millisecond) {
+		if strings.Contains(standin.Ask(t, third.ops, "show-stat"), "app.keys.restored:") {
+			break
+		}
+		if time.Since(began) > 5*time.Second {
+			t.Fatal("the third process does not open the store")
+		}
+	}
+	for i, key := range []string{"first", "second"} {
+		if code := third.ask("note", key, "b", uint64(10+i)); code != frame.Served {
+			t.Errorf("%s after two owners died: code %d", key, code)
+		}
+	}
+}
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -100,6 +100,7 @@
 	Shape    []Point
 	Skew     float64 // of the subjects, a Zipf exponent above 1; 0 = all alike
 	Subjects uint64
+	UWSGI    bool    // live days: the work is done by a uwsgi server, not by the engine
 	Poison   float64 // work for the most popular subject, over the usual; 0 = as for others
 	Failures []Failure
 	Length   int64
--- a/internal/lab/fleet/fleet_test.go
+++ b/internal/lab/fleet/fleet_test.go
@@ -153,7 +153,7 @@
 	}
 	for _, c := range []struct{ old, new, key string }{
 		{`name = "fifth-dies"`, "", "name"}, {"load = 0.85", "load = -1", "load"}, {"load = 0.85", "laod = 0.85", "laod"},
-		{"boxes = 10", "boxes = 0", "boxes"}, {"cores = 4", "cores = 0", "cores"}, {"spread = 0.2", "spread = 1.0", "spread"},
+		{"boxes = 10", "boxes = 0", "boxes"}, {"cores = 4", "cores = 4\nbackend = \"http\"", "fleet.backend"}, {"cores = 4", "cores = 0", "cores"}, {"spread = 0.2", "spread = 1.0", "spread"},
 		{"seconds = 60", "seconds = 0", "length"}, {"warmup_s = 5", "warmup_s = 60", "from"}, {"subject_skew = 1.2", "subject_skew = 0.5", "skew"},
 		{`effect = "keyed"`, `effect = "once"`, "class[3].effect"}, {`"point-to-code"`, `"code-to-point"`, "class[1].name"},
 		{"aim_ms = 1100", "aim_ms = 9000", "class[2].aim_ms"}, {"work_ms = [150, 260]", "work_ms = [260, 150]", "class.work"},
--- a/internal/lab/fleet/scenario.go
+++ b/internal/lab/fleet/scenario.go
@@ -23,13 +23,14 @@
 	Poison   float64 `toml:"subject_poison"` // work for the most popular subject, over the usual
 	Delay    float64 `toml:"delay_ms"`
 	Fleet    struct {
-		Boxes  int     `toml:"boxes"`
-		Cores  int     `toml:"cores"`
-		Speed  float64 `toml:"speed"`
-		Spread float64 `toml:"spread"`
-		Knee   float64 `toml:"knee"`  // runs a core beyond which throughput is lost
-		Loss   float64 `toml:"loss"`  // part lost for each run a core beyond it
-		Falls  float64 `toml:"falls"` // runs a core, in the mean of 1.5 s, at which a box falls over; 0 = never
+		Boxes   int     `toml:"boxes"`
+		Cores   int     `toml:"cores"`
+		Speed   float64 `toml:"speed"`
+		Spread  float64 `toml:"spread"`
+		Knee    float64 `toml:"knee"`    // runs a core beyond which throughput is lost
+		Loss    float64 `toml:"loss"`    // part lost for each run a core beyond it
+		Backend string  `toml:"backend"` // of live days: engine or uwsgi
+		Falls   float64 `toml:"falls"`   // runs a core, in the mean of 1.5 s, at which a box falls over; 0 = never
 	} `toml:"fleet"`
 	Server   Server        `toml:"server"`
 	Classes  []classFile   `toml:"class"`
@@ -165,6 +166,13 @@
 	day := Day{Boxes: s.Fleet.Boxes, Spread: s.Fleet.Spread, Load: s.Load, Skew: s.Skew, Subjects: max(1, s.Subjects), Poison: s.Poison,
 		Box:    box.Spec{Cores: s.Fleet.Cores, Speed: or(s.Fleet.Speed, 1), Knee: s.Fleet.Knee, Loss: s.Fleet.Loss, Falls: s.Fleet.Falls},
 		Length: sec(s.Seconds), From: sec(s.Warmup), Delay: us(or(s.Delay, 1))}
+	switch s.Fleet.Backend {
+	case "", "engine":
+	case "uwsgi":
+		day.UWSGI = true
+	default:
+		fail("fleet.backend", "is %q, want engine or uwsgi", s.Fleet.Backend)
+	}
 	day.Module = kiteslip.Settings{Cores: s.Fleet.Cores, MemoryKB: or(s.Server.MemoryMB, 256) * 1024, RunFactor: or(s.Server.RunFactor, 4),
 		KeyKB: 8, MaxRetryAfter: us(or(s.Server.MaxRetryMS, 1000)), OverShareWorth: 0.05, WorthByWork: true, Tick: 4_000,
 		DrainGrace: 2_000_000, AnswerSlack: 60_000, CrowdMultiple: s.Server.Crowd, CrowdOver: 1_500_000,
--- a/internal/lab/live/live.go
+++ b/internal/lab/live/live.go
@@ -135,13 +135,20 @@
 	})
 }
 
-// operator words the pools for the program.
-func (f *Fleet) operator() string {
+// operator words the backend and the pools for the program.
+func (f *Fleet) operator(backend string) string {
+	text := ""
+	if backend != "" {
+		text = fmt.Sprintf("[[service]]\nname = \"lab\"\nbackend = %q\n", backend)
+		for i := range f.day.Classes {
+			text += fmt.Sprintf("[[service.contract]]\nclass = %q\n", f.day.Classes[i].Name)
+		}
+	}
 	p := f.day.Pools
 	if p == nil {
-		return ""
+		return text
 	}
-	text := fmt.Sprintf("[pools]\ncheap_reserve = %f\n", p.CheapReserve)
+	text += fmt.Sprintf("[pools]\ncheap_reserve = %f\n", p.CheapReserve)
 	for i := range p.Pools {
 		s := &p.Pools[i]
 		classes := ""
@@ -169,7 +176,14 @@
 	if err = os.MkdirAll(dir, 0o700); err != nil {
 		return err
 	}
-	program, err := Start(b.f.path, dir, b.listen, text, b.f.operator())
+	backend := ""
+	if b.f.day.UWSGI {
+		if backend, err = engine.ServeUWSGI(); err != nil {
+			engine.Close()
+			return err
+		}
+	}
+	program, err := Start(b.f.path, dir, b.listen, text, b.f.operator(backend))
 	if err != nil {
 		engine.Close()
 		return err
--- a/internal/lab/live/live_test.go
+++ b/internal/lab/live/live_test.go
@@ -8,14 +8,21 @@
 	"kiteslip/internal/lab/fleet"
 )
 
-// A short day against the real program, in which a box dies and comes back:
-// every request has its end, none late by the rules, and the draws are those of
-// simulated time.
-func TestRealProgramsPlayADay(t *testing.T) {
+// build builds the program.
+func build(t *testing.T) string {
+	t.Helper()
 	program := filepath.Join(t.TempDir(), "kiteslip")
 	if out, err := exec.Command("go", "build", "-o", program, "kiteslip/cmd/kiteslip").CombinedOutput(); err != nil {
 		t.Fatalf("%v: %s", err, out)
 	}
+	return program
+}
+
+// A short day against the real program, in which a box dies and comes back:
+// every request has its end, none late by the rules, and the draws are those of
+// simulated time.
+func TestRealProgramsPlayADay(t *testing.T) {
+	program := build(t)
 	day, _, err := fleet.Load(filepath.Join("..", "..", "..", "scenarios", "fifth-dies.toml"))
 	if err != nil {
 		t.Fatal(err)
@@ -47,3 +54,25 @@
 		t.Errorf("%d requests on loopback, %d in simulated time", o.Asked, emulated.Asked)
 	}
 }
+
+// The same with the work done by uwsgi servers: what is served is what they made.
+func TestRealProgramsBeforeUWSGI(t *testing.T) {
+	program := build(t)
+	day, _, err := fleet.Load(filepath.Join("..", "..", "..", "scenarios", "calm-lunch.toml"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	day.Seed, day.Boxes, day.Length, day.From, day.Load, day.UWSGI = 2, 2, 3*fleet.Second, 0, 0.4, true
+	f, err := Launch(program, &day)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	o, _, err := fleet.Live(day, f.Remotes(), f.Replies, nil, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if o.Asked < 10 || o.Overdue > 0 || o.Whole < 0.9 {
+		t.Errorf("%d asked, %d overdue, %.3f of the worth", o.Asked, o.Overdue, o.Whole)
+	}
+}
--- a/internal/server/keys.go
+++ b/internal/server/keys.go
@@ -119,10 +119,21 @@
 		s.core.Own(now() + s.core.Window()) // what an earlier life ran is not known here
 		return nil
 	}
+	if u := &s.handing; s.wroteAll(store, u.doubt) {
+		s.core.Own(0)
+	}
 	s.restore(store, records)
 	return nil
 }
 
+// wroteAll says whether the process that is the cause of a doubt wrote all that
+// it began to this store: it used it until its end, and would not have run
+// anything without a record.
+func (s *Server) wroteAll(store *keystore.Store, doubt int64) bool {
+	last := store.Last().Wall
+	return doubt != 0 && last != 0 && last+keysFresh >= doubt-s.core.Window() && !s.cfg.Keys.Unsafe
+}
+
 // ownKeys takes the keys over while the server runs: the store is opened beside
 // the loop, and the keys are this process's once it is.
 func (s *Server) ownKeys(doubt int64) {
@@ -158,8 +169,8 @@
 		}
 		return // keyed requests fail: what ran is not known
 	}
-	if last := store.Last().Wall; last != 0 && doubt != 0 && last+keysFresh >= doubt-s.core.Window() {
-		doubt = 0 // the process before wrote all that it began
+	if s.wroteAll(store, doubt) {
+		doubt = 0
 	}
 	s.restore(store, records)
 	s.owned(doubt)
--- a/internal/server/upgrade.go
+++ b/internal/server/upgrade.go
@@ -43,6 +43,7 @@
 	dialed   *net.UnixConn // to the old process, before the loop has it
 	web      net.Listener  // of the uwsgi front, as passed on; nil = none
 	began    int64
+	doubt    int64              // at the start, for what an earlier process may have run
 	peer     *peerConn          // in use; nil = there is none
 	waiting  *peerConn          // has come to take our place and has to wait
 	strays   []handover.Message // keys of classes that only the old process has
@@ -285,7 +286,8 @@
 	s.core.Disown(nil)
 	if u.dialed = u.place.Dial(); u.dialed == nil {
 		if u.place.Own() {
-			s.core.Own(s.doubtSince(u.place.Last()))
+			u.doubt = s.doubtSince(u.place.Last())
+			s.core.Own(u.doubt)
 		}
 		return nil
 	}
