Say once what pools make of a module's settings, and drop what nothing reads

Cause: four places built pool settings from the module's, kiteslip check worked out defaults and places of its own, and the places that shares are counted on stood twice. pool.For, Settings.Beyond and the parts of a Spec serve all of them.

--- a/cmd/kitelab/lab.go
+++ b/cmd/kitelab/lab.go
@@ -4,12 +4,10 @@
 	"errors"
 	"fmt"
 	"math"
-	"os"
 	"path/filepath"
 	"reflect"
 	"runtime"
 	"slices"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -36,16 +34,11 @@
 
 func (c *labCmd) Run() error {
 	var v verdict
-	load := func(name string) (fleet.Day, string, error) {
-		path := filepath.Join(c.Scenarios, name+".toml")
-		text, err := os.ReadFile(path)
-		if err != nil {
-			return fleet.Day{}, "", err
-		}
-		day, _, err := fleet.Parse(string(text))
-		return day, string(text), err
+	load := func(name string) (fleet.Day, error) {
+		day, _, err := fleet.Load(filepath.Join(c.Scenarios, name+".toml"))
+		return day, err
 	}
-	incident, text, err := load("fifth-dies")
+	incident, err := load("fifth-dies")
 	if err != nil {
 		return err
 	}
@@ -61,7 +54,7 @@
 	same := reflect.DeepEqual(first, second)
 	v.want(same, "an incident twice in simulated time is not the same")
 	fmt.Printf("an incident twice in simulated time: the same %v, score %.4f\n", same, first.Score)
-	cover, err := coverage(text)
+	cover, err := coverage(incident)
 	if err != nil {
 		return err
 	}
@@ -83,14 +76,11 @@
 }
 
 // coverage compares equal settings on days drawn apart, 200 times.
-func coverage(text string) (float64, error) {
+func coverage(day fleet.Day) (float64, error) {
 	const rounds, pairs = 200, 8
-	text = strings.Replace(strings.Replace(text, "boxes = 10", "boxes = 2", 1), "seconds = 60", "seconds = 16", 1)
-	text = strings.Replace(strings.Replace(text, "at_s = 20", "at_s = 8", 1), "share = 0.2\n", "share = 0.5\n", 1)
-	day, _, err := fleet.Parse(text)
-	if err != nil {
-		return 0, err
-	}
+	failure := day.Failures[0]
+	failure.At, failure.Share = 8*fleet.Second, 0.5
+	day.Boxes, day.Length, day.Failures = 2, 16*fleet.Second, []fleet.Failure{failure}
 	scores := make([]float64, 2*rounds*pairs)
 	var next, covered atomic.Int64
 	var all sync.WaitGroup
@@ -195,10 +185,10 @@
 
 // against plays three scenarios on loopback and in simulated time, one of them
 // twice, and a change that is known to hurt.
-func (c *labCmd) against(v *verdict, load func(string) (fleet.Day, string, error)) (worst difference, late int64, err error) {
+func (c *labCmd) against(v *verdict, load func(string) (fleet.Day, error)) (worst difference, late int64, err error) {
 	var days []played
 	for i, name := range []string{"calm-lunch", "slow-zone", "pause-burst"} {
-		day, _, err := load(name)
+		day, err := load(name)
 		if err != nil {
 			return worst, 0, err
 		}
@@ -239,13 +229,11 @@
 
 // halved is a day on which one pool of all classes has half of the running places.
 func halved(day fleet.Day) fleet.Day {
-	m := &day.Module
 	all := pool.Spec{Name: "all", Most: 0.5}
-	day.Pools = &pool.Settings{Cores: m.Cores, MemoryKB: m.MemoryKB, RunFactor: m.RunFactor, MaxAdvice: m.MaxRetryAfter}
-	for i := range m.Classes {
-		day.Pools.Classes = append(day.Pools.Classes, pool.Class{Aim: m.Classes[i].Aim, Limit: m.Classes[i].Limit})
+	for i := range day.Classes {
 		all.Classes = append(all.Classes, i)
 	}
+	day.Pools = pool.For(&day.Module)
 	day.Pools.Pools = []pool.Spec{all}
 	return day
 }
--- a/cmd/kiteslip/main.go
+++ b/cmd/kiteslip/main.go
@@ -148,28 +148,18 @@
 	if s == nil {
 		return
 	}
-	part := func(v float64) float64 {
-		if v == 0 {
-			return 1
-		}
-		return v
-	}
 	for i, p := range cfg.Pools {
 		spec := &s.Pools[i]
-		memory := part(p.Memory)
-		if p.Memory == 0 {
-			memory = p.Share
-		}
 		waiting := "what can be served in time"
 		if p.Waiting > 0 {
 			waiting = fmt.Sprint(p.Waiting)
 		}
 		fmt.Fprintf(w, "pool %s: %s; of %d places %.2f its own, %.2f at most, %d beyond the limit; of %.0f MB %.1f its own, %.1f at most; waiting: %s\n",
-			p.Name, strings.Join(p.Classes, ", "), s.Cores, spec.Share*float64(s.Cores), part(spec.Most)*float64(s.Cores),
-			int(math.Ceil(spec.Reserve*float64(s.Cores))), s.MemoryKB/1024, memory*s.MemoryKB/1024, part(spec.MemoryMost)*s.MemoryKB/1024, waiting)
+			p.Name, strings.Join(p.Classes, ", "), s.Cores, spec.Share*float64(s.Cores), spec.MostPlaces()*float64(s.Cores),
+			s.Beyond(spec.Reserve), s.MemoryKB/1024, spec.OwnMemory()*s.MemoryKB/1024, spec.MostMemory()*s.MemoryKB/1024, waiting)
 	}
 	if cfg.CheapReserve > 0 {
-		fmt.Fprintf(w, "cheapest class, as learned: %d places beyond the limit\n", int(math.Ceil(cfg.CheapReserve*float64(s.Cores))))
+		fmt.Fprintf(w, "cheapest class, as learned: %d places beyond the limit\n", s.Beyond(cfg.CheapReserve))
 	}
 }
 
--- a/internal/config/pools.go
+++ b/internal/config/pools.go
@@ -56,12 +56,8 @@
 	if len(c.Pools) == 0 {
 		return nil
 	}
-	s := &pool.Settings{Cores: c.Module.Cores, MemoryKB: c.Module.MemoryKB, RunFactor: c.Module.RunFactor,
-		MaxAdvice: c.Module.MaxRetryAfter, CheapReserve: c.CheapReserve}
-	for i := range c.Module.Classes {
-		m := &c.Module.Classes[i]
-		s.Classes = append(s.Classes, pool.Class{Aim: m.Aim, Limit: m.Limit})
-	}
+	s := pool.For(&c.Module)
+	s.CheapReserve = c.CheapReserve
 	for _, p := range c.Pools {
 		spec := pool.Spec{Name: p.Name, Share: p.Share, Most: p.Most, Reserve: p.Reserve, Memory: p.Memory,
 			MemoryMost: p.MemoryMost, Waiting: p.Waiting}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -244,10 +244,11 @@
 			return err
 		}
 	}
-	if err := c.worker.Retune(c.prepared(module)); err != nil {
+	module = c.prepared(module)
+	if err := c.worker.Retune(module); err != nil {
 		return err
 	}
-	c.set.Module, c.set.Off = c.prepared(module), off
+	c.set.Module, c.set.Off = module, off
 	if err := c.repool(pools); err != nil {
 		return err
 	}
--- a/internal/core/journal.go
+++ b/internal/core/journal.go
@@ -193,6 +193,3 @@
 
 // Unrecorded is the number of runs that started though nothing could be recorded.
 func (c *Core) Unrecorded() int { return c.noRecord }
-
-// Recording is the number of runs that wait for the record of their end.
-func (c *Core) Recording() int { return len(c.ends) }
--- a/internal/core/pools.go
+++ b/internal/core/pools.go
@@ -111,6 +111,3 @@
 	}
 	return c.pools.Figures()
 }
-
-// RunLimit is the module's running limit.
-func (c *Core) RunLimit() int { return c.worker.Limit() }
--- a/internal/keystore/store.go
+++ b/internal/keystore/store.go
@@ -296,8 +296,10 @@
 	if err := s.failure(); err != nil {
 		return err
 	}
-	if n := s.Bytes(); s.opt.MaxBytes > 0 && n > uint64(s.opt.MaxBytes) && slices.ContainsFunc(ops, begins) {
-		return fmt.Errorf("%w: %d bytes of %d", ErrFull, n, s.opt.MaxBytes)
+	if s.opt.MaxBytes > 0 && slices.ContainsFunc(ops, begins) {
+		if n := s.Bytes(); n > uint64(s.opt.MaxBytes) {
+			return fmt.Errorf("%w: %d bytes of %d", ErrFull, n, s.opt.MaxBytes)
+		}
 	}
 	b := s.db.NewBatch()
 	for i := range ops {
--- a/internal/lab/fleet/scenario.go
+++ b/internal/lab/fleet/scenario.go
@@ -226,12 +226,8 @@
 	if len(s.Server.Pools) == 0 {
 		return
 	}
-	m := &day.Module
-	day.Pools = &pool.Settings{Cores: m.Cores, MemoryKB: m.MemoryKB, RunFactor: m.RunFactor, MaxAdvice: m.MaxRetryAfter,
-		CheapReserve: s.Server.CheapReserve}
-	for i := range m.Classes {
-		day.Pools.Classes = append(day.Pools.Classes, pool.Class{Aim: m.Classes[i].Aim, Limit: m.Classes[i].Limit})
-	}
+	day.Pools = pool.For(&day.Module)
+	day.Pools.CheapReserve = s.Server.CheapReserve
 	for i, p := range s.Server.Pools {
 		spec := pool.Spec{Name: p.Name, Share: p.Share, Most: p.Most, Reserve: p.Reserve}
 		for _, name := range p.Classes {
--- a/internal/lab/site.go
+++ b/internal/lab/site.go
@@ -39,14 +39,12 @@
 
 // BrokerPools are the pools of the same broker.
 func BrokerPools(m *kiteslip.Settings) *pool.Settings {
-	s := &pool.Settings{Cores: m.Cores, MemoryKB: m.MemoryKB, RunFactor: m.RunFactor, MaxAdvice: m.MaxRetryAfter, CheapReserve: 0.25,
-		Pools: []pool.Spec{
-			{Name: "lookups", Classes: []int{CodeToPoint, PointToCode}, Share: 0.15},
-			{Name: "landmarks", Classes: []int{LandmarkSearch}, Share: 0.5},
-			{Name: "registrations", Classes: []int{RegisterAddress}, Share: 0.35},
-		}}
-	for i := range m.Classes {
-		s.Classes = append(s.Classes, pool.Class{Aim: m.Classes[i].Aim, Limit: m.Classes[i].Limit})
+	s := pool.For(m)
+	s.CheapReserve = 0.25
+	s.Pools = []pool.Spec{
+		{Name: "lookups", Classes: []int{CodeToPoint, PointToCode}, Share: 0.15},
+		{Name: "landmarks", Classes: []int{LandmarkSearch}, Share: 0.5},
+		{Name: "registrations", Classes: []int{RegisterAddress}, Share: 0.35},
 	}
 	return s
 }
--- a/internal/pool/ceilings.go
+++ b/internal/pool/ceilings.go
@@ -18,10 +18,10 @@
 	idleAdvice   = 2.0 // advice is at most this many times the longest aim of the pool's classes
 )
 
-// ownPlaces is the pool's own part of the places, not rounded. What runs shares
+// shared is the number of places that shares are counted on. What runs shares
 // the cores evenly, so a part of the cores is that part of what runs.
-func (b *Book) ownPlaces(p *state) float64 {
-	return p.Share * max(float64(b.set.Cores), min(float64(b.running+b.beside), b.crowd))
+func (b *Book) shared() float64 {
+	return max(float64(b.set.Cores), min(float64(b.running+b.beside), b.crowd))
 }
 
 // findCrowd works out how many runs together may share the cores: so many that none takes
@@ -40,7 +40,7 @@
 // earn moves the credits: a pool earns its share and pays for the places that
 // it has. What it has saved up, or owes, is bounded.
 func (b *Book) earn(dt float64) {
-	places := max(float64(b.set.Cores), min(float64(b.running+b.beside), b.crowd))
+	places := b.shared()
 	for i := range b.pools {
 		p := &b.pools[i]
 		if p.Share == 0 {
@@ -74,7 +74,7 @@
 // saved up, so that a pool which asks for less than its share does not queue
 // for the chance that several of its requests come together.
 func (b *Book) own(p *state) int {
-	exact := b.ownPlaces(p)
+	exact := p.Share * b.shared()
 	n := math.Floor(exact)
 	if p.credit > 0 && exact > 0 {
 		if exact > n {
@@ -100,22 +100,22 @@
 		kb := p.heldKB + p.ranKB
 		booked += kb
 		if p.waiting+p.running > 0 {
-			claimed += max(0, p.memory()*b.set.MemoryKB-kb)
+			claimed += max(0, p.OwnMemory()*b.set.MemoryKB-kb)
 		}
 	}
 	for i := range b.pools {
 		p := &b.pools[i]
 		out := &b.out.Pools[i]
 		p.own = b.own(p)
-		spare := int(math.Ceil(p.Reserve * float64(b.set.Cores)))
+		spare := b.set.Beyond(p.Reserve)
 		// The limit binds only beyond the cores: none is left idle for it.
 		most := max(int(p.limit.limit), p.own, p.running+b.set.Cores-onCore, spare)
-		p.most = max(1, min(most, max(p.own, int(math.Ceil(p.most01()*float64(b.places))))))
+		p.most = max(1, min(most, max(p.own, int(math.Ceil(p.MostPlaces()*float64(b.places))))))
 		rate := b.drain(now, p)
 		out.Own, out.Most, out.Spare = p.own, p.most, spare
 		out.Cores = min(max(p.Share*float64(b.set.Cores), float64(p.own))+float64(spare), float64(b.set.Cores))
 		out.Waiting = b.mayWait(p, rate)
-		own := p.memory() * b.set.MemoryKB
+		own := p.OwnMemory() * b.set.MemoryKB
 		kb := p.heldKB + p.ranKB
 		mine := 0.0
 		if p.waiting+p.running > 0 {
@@ -123,18 +123,16 @@
 		}
 		free := b.set.MemoryKB - (booked - kb) - (claimed - mine)
 		out.OwnKB = own
-		out.MostKB = min(p.memoryMost()*b.set.MemoryKB, max(own, free))
+		out.MostKB = min(p.MostMemory()*b.set.MemoryKB, max(own, free))
 		out.After = b.advice(p, rate, out.Waiting)
 	}
 	b.out.Cheap, b.out.CheapSpare = b.cheap, 0
 	if b.cheap >= 0 {
-		b.out.CheapSpare = int(math.Ceil(b.set.CheapReserve * float64(b.set.Cores)))
+		b.out.CheapSpare = b.set.Beyond(b.set.CheapReserve)
 	}
 	return &b.out
 }
 
-func (p *state) most01() float64 { return p.Spec.most() }
-
 // drain is how many requests a second the pool gets done: as seen of late, or
 // as its share promises if that is more.
 func (b *Book) drain(now int64, p *state) float64 {
@@ -181,9 +179,8 @@
 	Saved            int // runs saved up, which it may have beyond its own places
 	Borrowed, Lent   int // runs beyond its own; own places that it leaves to others
 	Refused          int // since the start
-	BookedKB, MostKB float64
+	BookedKB         float64
 	Cheapest         bool // the cheapest class is one of its own
-	LatencyOverBase  float64
 	MayWait          int
 }
 
@@ -196,8 +193,8 @@
 		list = append(list, Figure{Name: p.Name, Limit: min(p.most, b.out.Places), Running: p.running, Waiting: p.waiting, Own: own,
 			Borrowed: max(0, p.running-own), Lent: max(0, own-p.running-p.waiting), Refused: p.refused,
 			Saved:    int(max(0, p.credit/p.run)),
-			BookedKB: p.heldKB + p.ranKB, MostKB: b.out.Pools[i].MostKB, Cheapest: b.cheap >= 0 && b.of[b.cheap] == i,
-			LatencyOverBase: p.limit.short, MayWait: b.out.Pools[i].Waiting})
+			BookedKB: p.heldKB + p.ranKB, Cheapest: b.cheap >= 0 && b.of[b.cheap] == i,
+			MayWait: b.out.Pools[i].Waiting})
 	}
 	return list
 }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -45,6 +45,18 @@
 	CheapReserve float64 // of the cores: places beyond the running limit for the cheapest class
 }
 
+// For returns settings for the machine and classes of a module, without pools.
+func For(m *kiteslip.Settings) *Settings {
+	s := &Settings{Cores: m.Cores, MemoryKB: m.MemoryKB, RunFactor: m.RunFactor, MaxAdvice: m.MaxRetryAfter}
+	for i := range m.Classes {
+		s.Classes = append(s.Classes, Class{Aim: m.Classes[i].Aim, Limit: m.Classes[i].Limit})
+	}
+	return s
+}
+
+// Beyond is how many places beyond the running limit a reserve amounts to.
+func (s *Settings) Beyond(reserve float64) int { return int(math.Ceil(reserve * float64(s.Cores))) }
+
 // Rest is the name of the pool of all classes that no other names. It has no share.
 const Rest = "rest"
 
@@ -103,14 +115,14 @@
 		if p.Most > 0 && p.Most < p.Share {
 			fail(key+".most", "is %v, less than the share of %v", p.Most, p.Share)
 		}
-		if p.MemoryMost > 0 && p.MemoryMost < p.memory() {
-			fail(key+".memory_most", "is %v, less than its own %v", p.MemoryMost, p.memory())
+		if p.MemoryMost > 0 && p.MemoryMost < p.OwnMemory() {
+			fail(key+".memory_most", "is %v, less than its own %v", p.MemoryMost, p.OwnMemory())
 		}
 		if p.Waiting < 0 {
 			fail(key+".waiting", "is %d, want 0 or more", p.Waiting)
 		}
 		share += p.Share
-		memory += p.memory()
+		memory += p.OwnMemory()
 	}
 	const rounding = 1e-9
 	if share > 1+rounding {
@@ -122,21 +134,24 @@
 	return errors.Join(errs...)
 }
 
-func (p *Spec) memory() float64 {
+// OwnMemory is the part of the memory that is the pool's own.
+func (p *Spec) OwnMemory() float64 {
 	if p.Memory > 0 {
 		return p.Memory
 	}
 	return p.Share
 }
 
-func (p *Spec) most() float64 {
+// MostPlaces is the part of the running places that the pool never passes.
+func (p *Spec) MostPlaces() float64 {
 	if p.Most > 0 {
 		return p.Most
 	}
 	return 1
 }
 
-func (p *Spec) memoryMost() float64 {
+// MostMemory is the part of the memory that the pool never passes.
+func (p *Spec) MostMemory() float64 {
 	if p.MemoryMost > 0 {
 		return p.MemoryMost
 	}
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -143,7 +143,7 @@
 		}
 		most := 1.0
 		if i > 0 {
-			most = s.Pools[i-1].most()
+			most = s.Pools[i-1].MostPlaces()
 		}
 		idle := min(s.Cores-total, int(math.Ceil(most*float64(limit)))-running[i])
 		if c.Most < 1 || idle > 0 && c.Most < running[i]+idle {
