--- a/cmd/kitelab/runs.go
+++ b/cmd/kitelab/runs.go
@@ -137,18 +137,10 @@
 	fmt.Fprintf(w, "%d requests counted, %d tries, %d boxes lost; rules broken: %d answers after their due time, %d second runs\n", asked, tries, deaths, overdue, twice)
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(t, "of a day\tasked\tin time\tlate\trefused\tfailed\tmedian ms\t99th ms\tworth\t")
-	for _, of := range []func(*fleet.Outcome) []fleet.Group{func(o *fleet.Outcome) []fleet.Group { return o.Classes }, func(o *fleet.Outcome) []fleet.Group { return o.Teams }} {
-		for i, g := range of(run.Days[0].Outcome) {
-			var sum fleet.Group
-			for _, d := range run.Days {
-				x := of(d.Outcome)[i]
-				sum.Asked, sum.InTime, sum.Late, sum.Refused, sum.Failed = sum.Asked+x.Asked, sum.InTime+x.InTime, sum.Late+x.Late, sum.Refused+x.Refused, sum.Failed+x.Failed
-				sum.MedianMS, sum.P99MS, sum.Share = sum.MedianMS+x.MedianMS/n, sum.P99MS+x.P99MS/n, sum.Share+x.Share/n
-			}
-			m := len(run.Days)
-			fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%d\t%.0f\t%.0f\t%.3f\t\n", g.Name, sum.Asked/m, sum.InTime/m, sum.Late/m, sum.Refused/m, sum.Failed/m,
-				sum.MedianMS, sum.P99MS, sum.Share)
-		}
+	m := len(run.Days)
+	for _, g := range run.Groups() {
+		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%d\t%.0f\t%.0f\t%.3f\t\n", g.Name, g.Asked/m, g.InTime/m, g.Late/m, g.Refused/m, g.Failed/m,
+			g.MedianMS, g.P99MS, g.Share)
 	}
 	t.Flush()
 }
--- a/cmd/kiteslip/keys_test.go
+++ b/cmd/kiteslip/keys_test.go
@@ -45,17 +45,8 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { p.Process.Kill(); p.Wait() }) //nolint:errcheck // it may have ended
-	for began := time.Now(); ; time.Sleep(5 * time.Millisecond) {
-		if c, err := net.Dial("tcp", p.ops); err == nil {
-			c.Close()
-			if standin.Ask(t, p.ops, "ready") == "done ready\n" {
-				return p
-			}
-		}
-		if time.Since(began) > 10*time.Second {
-			t.Fatal("not ready within 10 s")
-		}
-	}
+	p.await()
+	return p
 }
 
 func (p *process) kill() {
--- a/cmd/kiteslip/upgrade_test.go
+++ b/cmd/kiteslip/upgrade_test.go
@@ -70,15 +70,22 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { p.Process.Kill(); p.Wait() }) //nolint:errcheck // it may have ended
+	p.await()
+	return p
+}
+
+// await waits until the process takes clients.
+func (p *process) await() {
+	p.t.Helper()
 	for began := time.Now(); ; time.Sleep(10 * time.Millisecond) {
 		if c, err := net.Dial("tcp", p.ops); err == nil {
 			c.Close()
-			if standin.Ask(t, p.ops, "ready") == "done ready\n" {
-				return p
+			if standin.Ask(p.t, p.ops, "ready") == "done ready\n" {
+				return
 			}
 		}
 		if time.Since(began) > 6*time.Second {
-			t.Fatal("not ready within 6 s")
+			p.t.Fatal("not ready within 6 s")
 		}
 	}
 }
--- a/internal/lab/experiment/experiment.go
+++ b/internal/lab/experiment/experiment.go
@@ -114,6 +114,29 @@
 	return run, nil
 }
 
+// Groups are the classes, then the teams, over all days: counts added up,
+// latencies and shares as means of the days.
+func (r *Run) Groups() []fleet.Group {
+	var list []fleet.Group
+	n := float64(len(r.Days))
+	for _, of := range []func(*fleet.Outcome) []fleet.Group{classes, teams} {
+		for i, g := range of(r.Days[0].Outcome) {
+			sum := fleet.Group{Name: g.Name}
+			for _, d := range r.Days {
+				x := of(d.Outcome)[i]
+				sum.Asked, sum.InTime, sum.Late = sum.Asked+x.Asked, sum.InTime+x.InTime, sum.Late+x.Late
+				sum.Refused, sum.Failed = sum.Refused+x.Refused, sum.Failed+x.Failed
+				sum.MedianMS, sum.P99MS, sum.Share = sum.MedianMS+x.MedianMS/n, sum.P99MS+x.P99MS/n, sum.Share+x.Share/n
+			}
+			list = append(list, sum)
+		}
+	}
+	return list
+}
+
+func classes(o *fleet.Outcome) []fleet.Group { return o.Classes }
+func teams(o *fleet.Outcome) []fleet.Group   { return o.Teams }
+
 // line is a day as the state file has it.
 type line struct {
 	Digest string
@@ -202,8 +225,8 @@
 			}
 		}
 	}
-	group("class", func(o *fleet.Outcome) []fleet.Group { return o.Classes })
-	group("team", func(o *fleet.Outcome) []fleet.Group { return o.Teams })
+	group("class", classes)
+	group("team", teams)
 	var rows []Row
 	for _, f := range figures {
 		var x, y []float64
--- a/internal/lab/report/report.go
+++ b/internal/lab/report/report.go
@@ -15,6 +15,7 @@
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/plotutil"
 	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
 	"gonum.org/v1/plot/vg/vgsvg"
 
 	"kiteslip/internal/lab/experiment"
@@ -77,21 +78,9 @@
 }
 
 func describe(run *experiment.Run) (section, error) {
-	s := section{Name: run.Name, Days: len(run.Days)}
-	for _, of := range []func(*fleet.Outcome) []fleet.Group{func(o *fleet.Outcome) []fleet.Group { return o.Classes },
-		func(o *fleet.Outcome) []fleet.Group { return o.Teams }} {
-		for i, g := range of(run.Days[0].Outcome) {
-			sum := fleet.Group{Name: g.Name}
-			for _, d := range run.Days {
-				x := of(d.Outcome)[i]
-				sum.Asked, sum.InTime, sum.Late = sum.Asked+x.Asked, sum.InTime+x.InTime, sum.Late+x.Late
-				sum.Refused, sum.Failed, sum.Share = sum.Refused+x.Refused, sum.Failed+x.Failed, sum.Share+x.Share/float64(len(run.Days))
-			}
-			s.Groups = append(s.Groups, sum)
-		}
-	}
-	for _, draw := range []func(*experiment.Run) (*plot.Plot, error){latency, share, refused} {
-		p, err := draw(run)
+	s := section{Name: run.Name, Days: len(run.Days), Groups: run.Groups()}
+	for _, of := range []func(*experiment.Run) (*plot.Plot, error){latency, share, refused} {
+		p, err := of(run)
 		if err != nil {
 			return s, err
 		}
@@ -108,7 +97,7 @@
 
 func inline(p *plot.Plot) (template.HTML, error) {
 	c := vgsvg.New(width, height)
-	p.Draw(drawer(c))
+	p.Draw(draw.New(c))
 	var b bytes.Buffer
 	if _, err := c.WriteTo(&b); err != nil {
 		return "", err
--- a/internal/standin/box/uwsgi.go
+++ b/internal/standin/box/uwsgi.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"strconv"
 	"time"
@@ -38,7 +39,7 @@
 func (e *Engine) call(c net.Conn) {
 	defer c.Close()
 	c.SetDeadline(time.Now().Add(uwsgiPatience)) //nolint:errcheck // a TCP connection takes it
-	body, err := readCall(c)
+	body, err := ReadCall(c)
 	if err != nil {
 		return
 	}
@@ -58,8 +59,8 @@
 	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body) //nolint:errcheck // a lost caller needs no answer
 }
 
-// readCall reads a request and returns its body.
-func readCall(c net.Conn) ([]byte, error) {
+// ReadCall reads one uwsgi request and returns its body.
+func ReadCall(c io.Reader) ([]byte, error) {
 	var buf []byte
 	chunk := make([]byte, 4096)
 	for {
--- a/internal/standin/callers.go
+++ b/internal/standin/callers.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"kiteslip/internal/frame"
+	"kiteslip/internal/standin/box"
 	"kiteslip/internal/uwsgi"
 )
 
@@ -35,10 +36,11 @@
 	b := &Backend{bodies: map[string]int{}}
 	b.Address, _ = listen(t, func(c net.Conn) {
 		defer c.Close()
-		body, err := readPacket(c)
+		read, err := box.ReadCall(c)
 		if err != nil {
 			return
 		}
+		body := string(read)
 		b.mu.Lock()
 		b.bodies[body]++
 		b.mu.Unlock()
@@ -57,34 +59,6 @@
 	return b
 }
 
-// readPacket reads one request and returns its body.
-func readPacket(r io.Reader) (string, error) {
-	var buf []byte
-	chunk := make([]byte, 4096)
-	for {
-		n, err := r.Read(chunk)
-		buf = append(buf, chunk[:n]...)
-		vars, size, bad := uwsgi.Split(buf)
-		if bad != nil {
-			return "", bad
-		}
-		if size > 0 {
-			length := 0
-			for name, value := range vars.All() {
-				if string(name) == uwsgi.VarLength {
-					length, _ = strconv.Atoi(string(value))
-				}
-			}
-			if len(buf) >= size+length {
-				return string(buf[size : size+length]), nil
-			}
-		}
-		if err != nil {
-			return "", err
-		}
-	}
-}
-
 // Runs returns how often each body was run.
 func (b *Backend) Runs() map[string]int {
 	b.mu.Lock()
