One platform file and one set of request fields for kitelab's measurements

Cause: the measurements of the door and of keys each worded the same settings, and two kinds of caller the same request. platformFile and fields serve both.

--- a/cmd/kitelab/caller.go
+++ b/cmd/kitelab/caller.go
@@ -34,18 +34,23 @@
 	return &caller{Conn: conn}, nil
 }
 
+// fields are those of a request of team red that is sent at that time.
+func fields(class, name string, at time.Time, wait time.Duration) []frame.Field {
+	return []frame.Field{{Name: "kind", Value: class}, {Name: "owner", Value: "red"},
+		{Name: "req", Value: name}, {Name: "via", Value: "1"},
+		{Name: "ts", Value: strconv.FormatInt(at.UnixMilli(), 10)},
+		{Name: "timeout", Value: strconv.FormatInt(wait.Milliseconds(), 10)},
+		{Name: "ms", Value: "1.0"}, {Name: "need", Value: "16"}, {Name: "level", Value: "0.5"}}
+}
+
 // send asks; it returns the stream.
 func (c *caller) send(class, key, body string, wait time.Duration) (uint32, error) {
 	c.stream++
-	fields := []frame.Field{{Name: "kind", Value: class}, {Name: "owner", Value: "red"},
-		{Name: "req", Value: fmt.Sprintf("%016x", tries.Add(1))}, {Name: "via", Value: "1"},
-		{Name: "ts", Value: strconv.FormatInt(time.Now().UnixMilli(), 10)},
-		{Name: "timeout", Value: strconv.FormatInt(wait.Milliseconds(), 10)},
-		{Name: "ms", Value: "1.0"}, {Name: "need", Value: "16"}, {Name: "level", Value: "0.5"}}
+	f := fields(class, fmt.Sprintf("%016x", tries.Add(1)), time.Now(), wait)
 	if key != "" {
-		fields = append(fields, frame.Field{Name: "opkey", Value: key})
+		f = append(f, frame.Field{Name: "opkey", Value: key})
 	}
-	_, err := c.Write(frame.AppendRequest(nil, c.stream, fields, []byte(body)))
+	_, err := c.Write(frame.AppendRequest(nil, c.stream, f, []byte(body)))
 	return c.stream, err
 }
 
--- a/cmd/kitelab/door.go
+++ b/cmd/kitelab/door.go
@@ -1,14 +1,12 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"os"
 	"os/exec"
 	"slices"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -67,23 +65,6 @@
 		r.answers, 100*r.refused, r.late, r.least, r.median, r.most, r.p99, r.slowest, r.cpu)
 }
 
-// doorSettings are those of a server whose engine is never short.
-func (c *doorCmd) settings(listen, engine string) ([]byte, error) {
-	return json.Marshal(map[string]any{
-		"name": "door", "listen": listen, "engine": engine, "seed": "1", "stop_ms": 2000,
-		"limits": map[string]any{"cores": 1, "memory_mb": 512, "sockets": 2*c.Connections + 128},
-		"settings": map[string]any{
-			"classes": []any{map[string]any{"name": "look", "effect": "repeatable", "on_time_us": c.Limit.Microseconds() / 2,
-				"hard_limit_us": c.Limit.Microseconds(), "worth": 1}},
-			"tenants": []any{map[string]any{"name": "red", "quota_per_s": 1e9}},
-			"family_info": map[string]any{"cores": 4096, "memory_kb": 4_000_000, "blowup": 4, "key_kb": 8, "idle_us": 60_000_000,
-				"callers": 4, "gauges": []string{"cpu_busy", "runnable"}},
-			"rules": map[string]any{"answer_slack_us": 60_000, "drain_grace_us": 2_000_000},
-			"goal":  map[string]any{"whole": 1}, "tick_us": 4000, "group_size": 1,
-		},
-	})
-}
-
 // play starts the program and lets all connections ask, so long after they stand.
 func (c *doorCmd) play(settle time.Duration) (r doorRound, err error) {
 	engine, err := box.Serve(box.Spec{Cores: 64})
@@ -95,7 +76,9 @@
 	if err != nil {
 		return r, err
 	}
-	text, err := c.settings(listen, engine.Address)
+	limit := c.Limit.Microseconds()
+	text, err := platformFile(listen, engine.Address, 2000, map[string]any{"cores": 1, "memory_mb": 512, "sockets": 2*c.Connections + 128},
+		4096, 8, map[string]any{"name": "look", "effect": "repeatable", "on_time_us": limit / 2, "hard_limit_us": limit, "worth": 1})
 	if err != nil {
 		return r, err
 	}
@@ -245,13 +228,7 @@
 	k.stream++
 	now := time.Now()
 	k.sent[k.stream] = now
-	return frame.AppendRequest(out, k.stream, []frame.Field{
-		{Name: "kind", Value: "look"}, {Name: "owner", Value: "red"},
-		{Name: "req", Value: fmt.Sprintf("%08x%08x", k.i, k.stream)}, {Name: "via", Value: "1"},
-		{Name: "ts", Value: strconv.FormatInt(now.UnixMilli(), 10)},
-		{Name: "timeout", Value: strconv.FormatInt(k.c.Limit.Milliseconds(), 10)},
-		{Name: "ms", Value: "1.0"}, {Name: "need", Value: "16"}, {Name: "level", Value: "0.5"},
-	}, []byte("b"))
+	return frame.AppendRequest(out, k.stream, fields("look", fmt.Sprintf("%08x%08x", k.i, k.stream), now, k.c.Limit), []byte("b"))
 }
 
 // processorTime is what a process has used so far, as the system counts it.
--- a/cmd/kitelab/keys.go
+++ b/cmd/kitelab/keys.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -63,21 +62,10 @@
 	if l.listen, err = live.FreeAddress(); err != nil {
 		return err
 	}
-	l.settings, err = json.Marshal(map[string]any{
-		"name": "keys", "listen": l.listen, "engine": l.engine.Address, "seed": "1", "stop_ms": 1000,
-		"limits": map[string]any{"cores": 1, "memory_mb": recoverMB, "sockets": 1024},
-		"settings": map[string]any{
-			"classes": []any{
-				map[string]any{"name": "look", "effect": "repeatable", "on_time_us": 2_000_000, "hard_limit_us": 4_000_000, "worth": 1},
-				map[string]any{"name": "note", "effect": "by_key", "on_time_us": 2_000_000, "hard_limit_us": 4_000_000, "worth": 4,
-					"window_us": keyWindow.Microseconds()}},
-			"tenants": []any{map[string]any{"name": "red", "quota_per_s": 1e9}},
-			"family_info": map[string]any{"cores": 256, "memory_kb": 4_000_000, "blowup": 4, "key_kb": 1, "idle_us": 60_000_000,
-				"callers": 4, "gauges": []string{"cpu_busy", "runnable"}},
-			"rules": map[string]any{"answer_slack_us": 60_000, "drain_grace_us": 2_000_000},
-			"goal":  map[string]any{"whole": 1}, "tick_us": 4000, "group_size": 1,
-		},
-	})
+	l.settings, err = platformFile(l.listen, l.engine.Address, 1000, map[string]any{"cores": 1, "memory_mb": recoverMB, "sockets": 1024}, 256, 1,
+		map[string]any{"name": "look", "effect": "repeatable", "on_time_us": 2_000_000, "hard_limit_us": 4_000_000, "worth": 1},
+		map[string]any{"name": "note", "effect": "by_key", "on_time_us": 2_000_000, "hard_limit_us": 4_000_000, "worth": 4,
+			"window_us": keyWindow.Microseconds()})
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/cmd/kitelab/platform.go
@@ -0,0 +1,19 @@
+package main
+
+import "encoding/json"
+
+// platformFile is a platform's file for a server that is never short of cores
+// or memory for its work: cores places, keyKB booked for each key, team red.
+func platformFile(listen, engine string, stopMS int, limits map[string]any, cores, keyKB int, classes ...map[string]any) ([]byte, error) {
+	return json.Marshal(map[string]any{
+		"name": "lab", "listen": listen, "engine": engine, "seed": "1", "stop_ms": stopMS, "limits": limits,
+		"settings": map[string]any{
+			"classes": classes,
+			"tenants": []any{map[string]any{"name": "red", "quota_per_s": 1e9}},
+			"family_info": map[string]any{"cores": cores, "memory_kb": 4_000_000, "blowup": 4, "key_kb": keyKB, "idle_us": 60_000_000,
+				"callers": 4, "gauges": []string{"cpu_busy", "runnable"}},
+			"rules": map[string]any{"answer_slack_us": 60_000, "drain_grace_us": 2_000_000},
+			"goal":  map[string]any{"whole": 1}, "tick_us": 4000, "group_size": 1,
+		},
+	})
+}
