--- a/internal/pool/ceilings.go
+++ b/internal/pool/ceilings.go
@@ -73,8 +73,8 @@
 // credit and down while it owes, and one more for each whole run that it has
 // saved up, so that a pool which asks for less than its share does not queue
 // for the chance that several of its requests come together.
-func (b *Book) own(p *state) int {
-	exact := p.Share * b.shared()
+func (b *Book) own(p *state, places float64) int {
+	exact := p.Share * places
 	n := math.Floor(exact)
 	if p.credit > 0 && exact > 0 {
 		if exact > n {
@@ -93,6 +93,7 @@
 	onCore := b.running + b.beside
 	b.crowd = b.findCrowd()
 	b.out.Places = int(min(1e6, b.crowd))
+	places := b.shared()
 	booked, claimed := 0.0, 0.0
 	for i := range b.pools {
 		p := &b.pools[i]
@@ -106,7 +107,7 @@
 	for i := range b.pools {
 		p := &b.pools[i]
 		out := &b.out.Pools[i]
-		p.own = b.own(p)
+		p.own = b.own(p, places)
 		spare := b.set.Beyond(p.Reserve)
 		// The limit binds only beyond the cores: none is left idle for it.
 		most := max(int(p.limit.limit), p.own, p.running+b.set.Cores-onCore, spare)
@@ -126,6 +127,7 @@
 		out.MostKB = min(p.MostMemory()*b.set.MemoryKB, max(own, free))
 		out.After = b.advice(p, rate, out.Waiting)
 	}
+	b.findCheapest()
 	b.out.Cheap, b.out.CheapSpare = b.cheap, 0
 	if b.cheap >= 0 {
 		b.out.CheapSpare = b.set.Beyond(b.set.CheapReserve)
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -312,7 +312,6 @@
 	k.learn(now, work)
 	p.rate.add(now)
 	p.limit.end(now, float64(elapsed)/k.base, full && p.running+1 >= p.most, k.base)
-	b.findCheapest()
 }
 
 // Refused counts a request that was turned away while it waited.
