--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 
 build:
 	mkdir -p bin
-	go build -ldflags "-X main.version=$(VERSION)" -o bin/ ./cmd/...
+	CGO_ENABLED=1 go build -ldflags "-linkmode=external -X main.version=$(VERSION)" -o bin/ ./cmd/...
 
 # Random walks start from one seed, so that a verdict is the same every time;
 # RAPID_SEED=0 takes a new one, RAPID_CHECKS=10000 walks longer.
