A debug line for each final answer, to follow a request through the servers

The servers' logs held starts, totals and faults only: no line named a try, so a request could not be followed. Each final answer, on both fronts, is now one debug line with req, opkey, class, code, arrived, due and at (Unix ms), advice or cause; nothing is built at info.

--- a/internal/server/session.go
+++ b/internal/server/session.go
@@ -188,6 +188,7 @@
 
 // Answer writes the final answer of the request on stream.
 func (f *session) Answer(stream uint32, a core.Answer) {
+	f.s.traceAnswer("frames", f.open[stream], a)
 	delete(f.open, stream)
 	if f.gone {
 		return
--- /dev/null
+++ b/internal/server/trace.go
@@ -0,0 +1,55 @@
+package server
+
+import (
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"kiteslip/internal/core"
+)
+
+// The words of the answer log, one for each code and cause.
+var (
+	codeWords  = [...]string{core.Served: "served", core.Refused: "refused", core.Failed: "failed"}
+	causeWords = [...]string{core.GivenUp: "given_up", core.Overdue: "overdue", core.RunFailed: "run_failed",
+		core.InDoubt: "in_doubt", core.Unknown: "unknown"}
+)
+
+// word is the name of i in words, or "?" where there is none.
+func word[T ~uint8](words []string, i T) string {
+	if int(i) < len(words) {
+		return words[i]
+	}
+	return "?"
+}
+
+// traceAnswer logs the final answer of one try at debug level, so that whoever
+// is on call can follow a request by its `req` (new with each try) or its
+// `opkey` (the same for all tries) through every server that had it. Times are
+// Unix milliseconds; nothing is built where debug is off.
+func (s *Server) traceAnswer(front string, r *core.Request, a core.Answer) {
+	if r == nil || !s.log.Core().Enabled(zapcore.DebugLevel) {
+		return
+	}
+	fields := make([]zap.Field, 0, 10)
+	fields = append(fields, zap.String("front", front), zap.String("req", r.Name), zap.String("class", s.className(r.Class)),
+		zap.String("code", word(codeWords[:], a.Code)), zap.Int64("arrived", r.Arrived/1000), zap.Int64("due", r.Due/1000),
+		zap.Int64("at", now()/1000))
+	if r.Key != "" {
+		fields = append(fields, zap.String("opkey", r.Key))
+	}
+	switch a.Code {
+	case core.Refused:
+		fields = append(fields, zap.Int64("hold_off_ms", a.HoldOff/1000), zap.Bool("no_more", a.NoMore))
+	case core.Failed:
+		fields = append(fields, zap.String("cause", word(causeWords[:], a.Cause)))
+	}
+	s.log.Debug("answer", fields...)
+}
+
+// className is the name of class i in the settings in use.
+func (s *Server) className(i int) string {
+	if i >= 0 && i < len(s.cfg.Classes) {
+		return s.cfg.Classes[i]
+	}
+	return "?"
+}
--- a/internal/server/web.go
+++ b/internal/server/web.go
@@ -129,6 +129,7 @@
 
 // Answer writes the final answer.
 func (f *webSession) Answer(_ uint32, a core.Answer) {
+	f.s.traceAnswer("uwsgi", f.request, a)
 	status, retryAfter := uwsgi.Status(&a)
 	body := a.Result
 	if a.Code == core.Failed && a.Cause == core.Unknown {
