--- a/cmd/kitelab/door.go
+++ b/cmd/kitelab/door.go
@@ -15,6 +15,7 @@
 
 	"kiteslip/internal/frame"
 	"kiteslip/internal/lab/live"
+	"kiteslip/internal/lab/probe"
 	"kiteslip/internal/standin/box"
 )
 
@@ -77,7 +78,7 @@
 		return r, err
 	}
 	limit := c.Limit.Microseconds()
-	text, err := platformFile(listen, engine.Address, 2000, map[string]any{"cores": 1, "memory_mb": 512, "sockets": 2*c.Connections + 128},
+	text, err := probe.PlatformFile(listen, engine.Address, 2000, map[string]any{"cores": 1, "memory_mb": 512, "sockets": 2*c.Connections + 128},
 		4096, 8, map[string]any{"name": "look", "effect": "repeatable", "on_time_us": limit / 2, "hard_limit_us": limit, "worth": 1})
 	if err != nil {
 		return r, err
@@ -228,7 +229,7 @@
 	k.stream++
 	now := time.Now()
 	k.sent[k.stream] = now
-	return frame.AppendRequest(out, k.stream, fields("look", fmt.Sprintf("%08x%08x", k.i, k.stream), now, k.c.Limit), []byte("b"))
+	return frame.AppendRequest(out, k.stream, probe.Fields("look", fmt.Sprintf("%08x%08x", k.i, k.stream), now, k.c.Limit), []byte("b"))
 }
 
 // processorTime is what a process has used so far, as the system counts it.
--- /dev/null
+++ b/internal/lab/keys/keys.go
@@ -0,0 +1,498 @@
+// Package keys measures keyed results that outlive the process, against the
+// real program on loopback and against the store alone: kills at random points
+// with repeats after each, emulated losses of power, the start on a folder of
+// many live keys, commits one by one and in groups, the latency that a store
+// adds, reads beside keyed requests, and an emulated hour of new keys. Each
+// measurement returns its figures; what they must reach is the caller's.
+package keys
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"runtime"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/cockroachdb/pebble/v2/vfs"
+
+	"kiteslip/internal/frame"
+	"kiteslip/internal/keystore"
+	"kiteslip/internal/lab/live"
+	"kiteslip/internal/lab/probe"
+	"kiteslip/internal/standin/box"
+	"kiteslip/internal/storage"
+)
+
+// What the program is given.
+const (
+	RecoverMB = 192               // the program's limit of memory, in MB
+	KeyWindow = 300 * time.Second // of the keyed class
+)
+
+// Options say what is measured, and how much.
+type Options struct {
+	Program string // the program that is measured
+	Kills   int    // times that it is killed
+	Each    int    // keys, and repeats, for each kill
+	Losses  int    // emulated losses of power
+	Live    int    // keys that a recovery reads
+}
+
+// Lab is where the program runs: a folder of its own, an engine and an address.
+type Lab struct {
+	Options
+	dir, listen string
+	engine      *box.Engine
+	settings    []byte
+}
+
+// Open prepares a folder, an engine and the platform's file; Close ends them.
+func Open(o Options) (*Lab, error) {
+	dir, err := os.MkdirTemp("", "kitelab")
+	if err != nil {
+		return nil, err
+	}
+	l := &Lab{Options: o, dir: dir}
+	if l.engine, err = box.Serve(box.Spec{Cores: 64}); err != nil {
+		os.RemoveAll(dir)
+		return nil, err
+	}
+	if l.listen, err = live.FreeAddress(); err == nil {
+		l.settings, err = probe.PlatformFile(l.listen, l.engine.Address, 1000, map[string]any{"cores": 1, "memory_mb": RecoverMB, "sockets": 1024}, 256, 1,
+			map[string]any{"name": "look", "effect": "repeatable", "on_time_us": 2_000_000, "hard_limit_us": 4_000_000, "worth": 1},
+			map[string]any{"name": "note", "effect": "by_key", "on_time_us": 2_000_000, "hard_limit_us": 4_000_000, "worth": 4,
+				"window_us": KeyWindow.Microseconds()})
+	}
+	if err != nil {
+		l.Close()
+		return nil, err
+	}
+	return l, nil
+}
+
+// Close ends the engine and removes the folder.
+func (l *Lab) Close() {
+	l.engine.Close()
+	os.RemoveAll(l.dir)
+}
+
+// Folder is where the measurements keep their files.
+func (l *Lab) Folder() string { return l.dir }
+
+func (l *Lab) file(durability, folder string) string {
+	if durability == "" {
+		return ""
+	}
+	return fmt.Sprintf("[keys]\nfolder = %q\ndurability = %q\nmax_mb = 1024\n", filepath.Join(l.dir, folder), durability)
+}
+
+func (l *Lab) start(durability, folder string) (*live.Program, error) {
+	return live.Start(l.Program, l.dir, l.listen, l.settings, l.file(durability, folder))
+}
+
+// Killed is the outcome of the kills, in requests.
+type Killed struct {
+	Repeats, Served, Unknown, Began, Refused int
+	Second                                   int // keys that ran more than once
+	Changed                                  int // repeats that got other bytes than the run made
+	Lost                                     int // results that had been answered and were not given again
+}
+
+// UnknownShare is the share of repeats answered as begun and unknown.
+func (k *Killed) UnknownShare() float64 { return float64(k.Unknown) / float64(max(1, k.Repeats)) }
+
+func (k *Killed) String() string {
+	return fmt.Sprintf("kills: %d repeats: %d got the result, %d ran for the first time, %.1f%% begun and unknown, %d refused; %d second runs, %d with other bytes, %d lost",
+		k.Repeats, k.Served-k.Began, k.Began, 100*k.UnknownShare(), k.Refused, k.Second, k.Changed, k.Lost)
+}
+
+// Kills lets the program be killed at random points, with repeats of all that
+// was asked in the life before.
+func (l *Lab) Kills() (*Killed, error) {
+	rng := rand.New(rand.NewPCG(11, 1))
+	k := &Killed{}
+	var mu sync.Mutex
+	runs := map[string]int{}
+	l.engine.OnBegin(func(body string) {
+		mu.Lock()
+		defer mu.Unlock()
+		runs[body]++
+	})
+	defer l.engine.OnBegin(nil)
+	p, err := l.start("process", "kills")
+	if err != nil {
+		return nil, err
+	}
+	defer func() { p.Kill() }()
+	for n := range l.Options.Kills {
+		answered := map[string]bool{}
+		keys := make([]string, l.Each)
+		bodies := map[string]string{}
+		for i := range keys {
+			keys[i] = fmt.Sprintf("k%d.%d", n, i)
+			bodies[keys[i]] = fmt.Sprintf("%d %s", 1+rng.IntN(15_000), keys[i])
+		}
+		first, err := l.ask(keys[:l.Each/2], bodies, time.Duration(rng.IntN(30))*time.Millisecond)
+		if err != nil {
+			return nil, err
+		}
+		for key, r := range first {
+			answered[key] = r.Code == frame.Served
+		}
+		p.Kill()
+		if p, err = l.start("process", "kills"); err != nil {
+			return nil, err
+		}
+		before := map[string]int{}
+		mu.Lock()
+		for key, body := range bodies {
+			before[key] = runs[body]
+		}
+		mu.Unlock()
+		// Each key twice at once: one of them is a repeat in this life too.
+		again, err := l.ask(append(slices.Clone(keys[:l.Each/2]), keys[:l.Each/2]...), bodies, 5*time.Second)
+		if err != nil {
+			return nil, err
+		}
+		k.Repeats += l.Each / 2 * 2
+		for key, r := range again {
+			switch {
+			case r.Code == frame.Served && r.Body != bodies[key]:
+				k.Changed++
+			case r.Code == frame.Served:
+				k.Served += 2
+			case r.Code == frame.Failed:
+				k.Unknown += 2
+			default:
+				k.Refused += 2
+			}
+			if answered[key] && r.Code != frame.Served {
+				k.Lost++
+			}
+			mu.Lock()
+			if before[key] == 0 && runs[bodies[key]] == 1 {
+				k.Began += 2
+			}
+			mu.Unlock()
+		}
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	for _, n := range runs {
+		if n > 1 {
+			k.Second++
+		}
+	}
+	return k, nil
+}
+
+// ask sends keyed requests, 16 on a connection, and takes answers for so long;
+// the last answer for a key counts.
+func (l *Lab) ask(keys []string, bodies map[string]string, wait time.Duration) (map[string]probe.Reply, error) {
+	var mu sync.Mutex
+	got := map[string]probe.Reply{}
+	var all sync.WaitGroup
+	var failed atomic.Pointer[error]
+	for part := range slices.Chunk(keys, 16) {
+		c, err := probe.Dial(l.listen)
+		if err != nil {
+			return nil, err
+		}
+		streams := map[uint32]string{}
+		for _, key := range part {
+			stream, err := c.Send("note", key, bodies[key], 4*time.Second)
+			if err != nil {
+				return nil, err
+			}
+			streams[stream] = key
+		}
+		all.Go(func() {
+			for range part {
+				r, err := c.Next()
+				if err != nil {
+					failed.Store(&err)
+					return
+				}
+				mu.Lock()
+				got[streams[r.Stream]] = r
+				mu.Unlock()
+			}
+		})
+		defer c.Close()
+	}
+	done := make(chan struct{})
+	go func() { all.Wait(); close(done) }()
+	select {
+	case <-done:
+		if err := failed.Load(); err != nil {
+			return nil, *err
+		}
+	case <-time.After(wait):
+		if wait > time.Second {
+			return nil, errors.New("requests have no answer")
+		}
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	copied := map[string]probe.Reply{}
+	for key, r := range got {
+		copied[key] = r
+	}
+	return copied, nil
+}
+
+// Losses rehearses losses of power on all cores; it returns how many lost or
+// damaged records, and the first error.
+func (l *Lab) Losses() (int, error) {
+	var bad atomic.Int64
+	var first atomic.Pointer[error]
+	var next atomic.Int64
+	var all sync.WaitGroup
+	for range runtime.GOMAXPROCS(0) {
+		all.Go(func() {
+			for seed := next.Add(1); seed <= int64(l.Options.Losses); seed = next.Add(1) {
+				if err := keystore.PowerLoss(uint64(seed)); err != nil {
+					bad.Add(1)
+					first.CompareAndSwap(nil, &err)
+				}
+			}
+		})
+	}
+	all.Wait()
+	if err := first.Load(); err != nil {
+		return int(bad.Load()), *err
+	}
+	return 0, nil
+}
+
+// Recovery starts the program on a folder with many live keys.
+func (l *Lab) Recovery() (took time.Duration, peakKB int, err error) {
+	now := storage.Clock()
+	s, err := keystore.Open(keystore.Options{Folder: filepath.Join(l.dir, "live"), Durability: keystore.Process, Now: now})
+	if err != nil {
+		return 0, 0, err
+	}
+	result := make([]byte, 120)
+	for i := 0; i < l.Live; i += 1000 {
+		var ops []keystore.Op
+		for j := i; j < min(i+1000, l.Live); j++ {
+			ops = append(ops, keystore.Op{Put: keystore.Record{Class: "note", Key: fmt.Sprint("live ", j), Name: fmt.Sprintf("%016x", j), Arrived: now.Wall,
+				Guard: now.Wall + KeyWindow.Microseconds(), Sum: uint64(j), Over: true, Outcome: 1, Result: result}})
+		}
+		if err = s.Commit(now, ops); err != nil {
+			return 0, 0, err
+		}
+	}
+	if err = s.Close(); err != nil {
+		return 0, 0, err
+	}
+	began := time.Now()
+	p, err := l.start("process", "live")
+	if err != nil {
+		return 0, 0, err
+	}
+	took = time.Since(began)
+	defer p.Kill()
+	c, err := probe.Dial(l.listen)
+	if err != nil {
+		return 0, 0, err
+	}
+	defer c.Close()
+	if peakKB, err = p.PeakKB(); err != nil {
+		return 0, 0, err
+	}
+	if _, err = c.Send("note", "live 7", "x", time.Second); err != nil {
+		return 0, 0, err
+	}
+	if r, err := c.Next(); err != nil || r.Code != frame.Failed { // known, with another body
+		return 0, 0, fmt.Errorf("a key that was restored: %+v, %v", r, err)
+	}
+	return took, peakKB, nil
+}
+
+// Groups compares commits of one key each with what the worker makes of many at once.
+func Groups(folder string) (single, grouped float64, err error) {
+	s, err := keystore.Open(keystore.Options{Folder: folder, Now: storage.Clock()})
+	if err != nil {
+		return 0, 0, err
+	}
+	rec := func(i int) keystore.Record {
+		return keystore.Record{Class: "note", Key: fmt.Sprint("g", i), Name: "n", Arrived: 1, Guard: 1 << 40, Result: make([]byte, 100)}
+	}
+	n := 0
+	began := time.Now()
+	for time.Since(began) < time.Second {
+		if err = s.Commit(storage.Clock(), []keystore.Op{{Put: rec(n)}}); err != nil {
+			return 0, 0, err
+		}
+		n++
+	}
+	single = float64(n) / time.Since(began).Seconds()
+	const atOnce = 1024
+	room := make(chan struct{}, atOnce)
+	var bad atomic.Int64
+	w := storage.Start(s, storage.Clock, func(list []storage.Outcome) {
+		for _, o := range list {
+			if o.Err != nil {
+				bad.Add(1)
+			}
+			<-room
+		}
+	})
+	n = 0
+	began = time.Now()
+	for time.Since(began) < time.Second {
+		room <- struct{}{}
+		n++
+		w.Put(uint32(n), rec(n))
+	}
+	<-w.Close()
+	grouped = float64(n) / time.Since(began).Seconds()
+	if bad.Load() > 0 {
+		return 0, 0, fmt.Errorf("%d commits failed", bad.Load())
+	}
+	return single, grouped, nil
+}
+
+// Times are those of some requests.
+type Times struct{ Median, P99 time.Duration }
+
+// load sends requests of a class one after another on some connections.
+func (l *Lab) load(class, prefix, work string, connections int, span time.Duration) (*hdrhistogram.Histogram, error) {
+	h := hdrhistogram.New(1, 10_000_000, 3)
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	errs := make(chan error, connections)
+	end := time.Now().Add(span)
+	for i := range connections {
+		all.Go(func() {
+			c, err := probe.Dial(l.listen)
+			if err != nil {
+				errs <- err
+				return
+			}
+			defer c.Close()
+			for n := 0; time.Now().Before(end); n++ {
+				key := ""
+				if class == "note" {
+					key = fmt.Sprintf("%s.%d.%d", prefix, i, n)
+				}
+				began := time.Now()
+				if _, err = c.Send(class, key, work+" "+key, 4*time.Second); err == nil {
+					var r probe.Reply
+					if r, err = c.Next(); err == nil && r.Code != frame.Served {
+						err = fmt.Errorf("%s: code %d", key, r.Code)
+					}
+				}
+				if err != nil {
+					errs <- err
+					return
+				}
+				mu.Lock()
+				h.RecordValue(time.Since(began).Microseconds()) //nolint:errcheck // it lies within the bounds
+				mu.Unlock()
+			}
+		})
+	}
+	all.Wait()
+	select {
+	case err := <-errs:
+		return nil, err
+	default:
+		return h, nil
+	}
+}
+
+// Latency measures keyed requests whose work takes no time.
+func (l *Lab) Latency(durability string) (Times, error) {
+	p, err := l.start(durability, "latency-"+durability)
+	if err != nil {
+		return Times{}, err
+	}
+	defer p.Kill()
+	if _, err = l.load("note", "warm", "0", 16, 300*time.Millisecond); err != nil {
+		return Times{}, err
+	}
+	h, err := l.load("note", "k", "0", 16, 1200*time.Millisecond)
+	if err != nil {
+		return Times{}, err
+	}
+	us := func(q float64) time.Duration { return time.Duration(h.ValueAtQuantile(q)) * time.Microsecond }
+	return Times{us(50), us(99)}, nil
+}
+
+// Others compares the time of reads beside keyed requests, with a store and without.
+func (l *Lab) Others() (float64, error) {
+	var medians [2][]float64
+	for round := range 3 {
+		for i, durability := range []string{"", "power"} {
+			p, err := l.start(durability, fmt.Sprint("others-", round))
+			if err != nil {
+				return 0, err
+			}
+			beside := make(chan error, 1)
+			go func() {
+				_, err := l.load("note", "k", "5000", 8, 1500*time.Millisecond)
+				beside <- err
+			}()
+			h, err := l.load("look", "", "20000", 8, 1400*time.Millisecond)
+			err = errors.Join(err, <-beside)
+			p.Kill()
+			if err != nil {
+				return 0, err
+			}
+			medians[i] = append(medians[i], h.Mean())
+		}
+	}
+	for i := range medians {
+		slices.Sort(medians[i])
+	}
+	return medians[1][1] / medians[0][1], nil
+}
+
+// Hour emulates an hour of new keys, and returns disk and memory at its end
+// over what they were after ten minutes.
+func Hour() (disk, heap float64, err error) {
+	mem := vfs.NewMem()
+	moment := func(s int64) keystore.Moment { return keystore.Moment{Wall: 1e15 + s*1e6, Up: 1e9 + s*1e6, Boot: 1} }
+	s, err := keystore.Open(keystore.Options{Folder: "keys", FS: mem, Now: moment(0)})
+	if err != nil {
+		return 0, 0, err
+	}
+	size := func() (float64, float64) {
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return float64(s.Bytes()) + 1<<20, float64(m.HeapAlloc) + 1<<20
+	}
+	rng := rand.New(rand.NewPCG(5, 5))
+	var disk0, heap0 float64
+	for now := int64(0); now < 3600; now++ {
+		var ops []keystore.Op
+		for i := range 60 {
+			result := make([]byte, 200)
+			for j := range result {
+				result[j] = byte(rng.Uint32())
+			}
+			ops = append(ops, keystore.Op{Put: keystore.Record{Class: "note", Key: fmt.Sprint(now, ".", i), Name: "n", Arrived: moment(now).Wall,
+				Guard: moment(now + 16).Wall, Over: true, Outcome: 1, Result: result}})
+		}
+		if err = s.Commit(moment(now), ops); err != nil {
+			return 0, 0, err
+		}
+		if err = s.Age(moment(now - 5).Wall); err != nil {
+			return 0, 0, err
+		}
+		if now == 600 {
+			disk0, heap0 = size()
+		}
+	}
+	disk1, heap1 := size()
+	return disk1 / disk0, heap1 / heap0, s.Close()
+}
--- a/cmd/kitelab/caller.go
+++ b/internal/lab/probe/caller.go
@@ -1,4 +1,7 @@
-package main
+// Package probe asks the real program over the platform's frames, one
+// connection at a time, for measurements on loopback: a caller that sends and
+// waits, and a platform's file for a server that is never short of cores.
+package probe
 
 import (
 	"fmt"
@@ -10,32 +13,34 @@
 	"kiteslip/internal/frame"
 )
 
-// caller is one connection that asks and waits.
-type caller struct {
+// Caller is one connection that asks and waits. It is not safe for use by
+// several goroutines at once.
+type Caller struct {
 	net.Conn
 	buf    []byte
 	stream uint32
 }
 
-// reply is a final answer.
-type reply struct {
-	stream uint32
-	code   byte
-	body   string
+// Reply is a final answer.
+type Reply struct {
+	Stream uint32
+	Code   byte // frame.Served, frame.Refused, frame.Failed
+	Body   string
 }
 
 var tries atomic.Uint64 // names each try
 
-func dial(address string) (*caller, error) {
+// Dial connects to the program's frames front at address.
+func Dial(address string) (*Caller, error) {
 	conn, err := net.Dial("tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	return &caller{Conn: conn}, nil
+	return &Caller{Conn: conn}, nil
 }
 
-// fields are those of a request of team red that is sent at that time.
-func fields(class, name string, at time.Time, wait time.Duration) []frame.Field {
+// Fields are those of a request of team red that is sent at that time.
+func Fields(class, name string, at time.Time, wait time.Duration) []frame.Field {
 	return []frame.Field{{Name: "kind", Value: class}, {Name: "owner", Value: "red"},
 		{Name: "req", Value: name}, {Name: "via", Value: "1"},
 		{Name: "ts", Value: strconv.FormatInt(at.UnixMilli(), 10)},
@@ -43,10 +48,11 @@
 		{Name: "ms", Value: "1.0"}, {Name: "need", Value: "16"}, {Name: "level", Value: "0.5"}}
 }
 
-// send asks; it returns the stream.
-func (c *caller) send(class, key, body string, wait time.Duration) (uint32, error) {
+// Send asks for a run of class with body, keyed where key is not empty, and
+// waits so long for it; it returns the stream.
+func (c *Caller) Send(class, key, body string, wait time.Duration) (uint32, error) {
 	c.stream++
-	f := fields(class, fmt.Sprintf("%016x", tries.Add(1)), time.Now(), wait)
+	f := Fields(class, fmt.Sprintf("%016x", tries.Add(1)), time.Now(), wait)
 	if key != "" {
 		f = append(f, frame.Field{Name: "opkey", Value: key})
 	}
@@ -54,20 +60,20 @@
 	return c.stream, err
 }
 
-// next waits for the next final answer.
-func (c *caller) next() (reply, error) {
+// Next waits for the next final answer, 10 s at most.
+func (c *Caller) Next() (Reply, error) {
 	c.SetReadDeadline(time.Now().Add(10 * time.Second)) //nolint:errcheck // a TCP connection takes it
 	for {
 		f, n, err := frame.Split(c.buf)
 		if err != nil {
-			return reply{}, err
+			return Reply{}, err
 		}
 		if n > 0 {
-			r := reply{stream: f.Stream}
+			r := Reply{Stream: f.Stream}
 			if f.Type == frame.Answer && len(f.Payload) > 0 {
-				r.code = f.Payload[0]
+				r.Code = f.Payload[0]
 				if _, body, err := frame.ParseFields(f.Payload[1:]); err == nil {
-					r.body = string(body)
+					r.Body = string(body)
 				}
 			}
 			c.buf = c.buf[n:]
@@ -79,7 +85,7 @@
 		chunk := make([]byte, 16<<10)
 		n, err = c.Read(chunk)
 		if err != nil {
-			return reply{}, err
+			return Reply{}, err
 		}
 		c.buf = append(c.buf, chunk[:n]...)
 	}
--- a/cmd/kitelab/platform.go
+++ b/internal/lab/probe/platform.go
@@ -1,10 +1,10 @@
-package main
+package probe
 
 import "encoding/json"
 
-// platformFile is a platform's file for a server that is never short of cores
+// PlatformFile is a platform's file for a server that is never short of cores
 // or memory for its work: cores places, keyKB booked for each key, team red.
-func platformFile(listen, engine string, stopMS int, limits map[string]any, cores, keyKB int, classes ...map[string]any) ([]byte, error) {
+func PlatformFile(listen, engine string, stopMS int, limits map[string]any, cores, keyKB int, classes ...map[string]any) ([]byte, error) {
 	return json.Marshal(map[string]any{
 		"name": "lab", "listen": listen, "engine": engine, "seed": "1", "stop_ms": stopMS, "limits": limits,
 		"settings": map[string]any{
