--- a/cmd/kitelab/lab.go
+++ b/cmd/kitelab/lab.go
@@ -29,6 +29,8 @@
 	latencyMost         = 0.10
 	goodputMost         = 0.03
 	pointMost           = 0.01
+	boxMemoryFor        = 4 * fleet.Second // of a day whose live heap is measured, with the collector at work often
+	boxMostKB           = 64               // live heap of one box of 1,000: its core, module, engine and open requests
 	liveSeconds         = 10
 )
 
@@ -60,11 +62,12 @@
 	}
 	fmt.Printf("two equal settings on draws of their own: the interval covers zero in %.3f of 200 comparisons\n", cover)
 	v.want(cover >= coverLow && cover <= coverHigh, "intervals cover zero in %.3f, want %.2f to %.2f", cover, coverLow, coverHigh)
-	ratio, err := scale(incident)
+	ratio, boxKB, err := scale(incident)
 	if err != nil {
 		return err
 	}
 	v.want(ratio <= scaleMost, "a request costs %.2f times as much with 1,000 boxes, want %.1f", ratio, scaleMost)
+	v.want(boxKB <= boxMostKB, "a box of 1,000 holds %.0f KB, want at most %d", boxKB, boxMostKB)
 	worst, late, err := c.against(&v, load)
 	if err != nil {
 		return err
@@ -72,7 +75,8 @@
 	v.want(worst.latency <= latencyMost, "latency on loopback differs by %.3f, want %.2f", worst.latency, latencyMost)
 	v.want(worst.goodput <= goodputMost, "goodput on loopback differs by %.3f, want %.2f", worst.goodput, goodputMost)
 	v.want(late <= lateMost, "the callers were late by %d us, want %d", late, lateMost)
-	return v.end(fmt.Sprintf("lab: same=%v cover=%.3f scale=%.3f latency=%.3f goodput=%.3f twice=%.4f late_us=%d", same, cover, ratio, worst.latency, worst.goodput, worst.twice, late))
+	return v.end(fmt.Sprintf("lab: same=%v cover=%.3f scale=%.3f box_kb=%.0f latency=%.3f goodput=%.3f twice=%.4f late_us=%d", same, cover, ratio, boxKB,
+		worst.latency, worst.goodput, worst.twice, late))
 }
 
 // coverage compares equal settings on days drawn apart, 200 times.
@@ -116,10 +120,11 @@
 	return float64(covered.Load()) / rounds, nil
 }
 
-// scale plays a million requests on 10 boxes and on 1,000, and returns the ratio of their cost.
-func scale(day fleet.Day) (float64, error) {
+// scale plays a million requests on 10 boxes and on 1,000, and returns the
+// ratio of their cost and the live heap of one box of 1,000, in KB.
+func scale(day fleet.Day) (float64, float64, error) {
 	day.Failures, day.From = nil, 0
-	cost := func(boxes int, requests float64) (time.Duration, int, error) {
+	cost := func(boxes int, requests float64) (time.Duration, int, float64, error) {
 		d := day
 		d.Boxes = boxes
 		d.Length = int64(requests / (0.85 * 4 / 0.3 * float64(boxes)) * fleet.Second)
@@ -129,23 +134,30 @@
 		began := time.Now()
 		o, err := fleet.Play(d)
 		if err != nil {
-			return 0, 0, err
+			return 0, 0, 0, err
 		}
 		took := time.Since(began)
 		runtime.ReadMemStats(&after)
-		fmt.Printf("%d boxes: %d requests in %v, %.1f us a request, %d MB taken from the system\n", boxes, o.Asked, took.Round(time.Millisecond),
-			float64(took.Microseconds())/float64(o.Asked), after.Sys>>20)
-		return took, o.Asked, nil
+		short := d
+		short.Length = boxMemoryFor
+		peak, err := heapPeak(func() error { _, err := fleet.Play(short); return err })
+		if err != nil {
+			return 0, 0, 0, err
+		}
+		kb := float64(peak) / 1024 / float64(boxes)
+		fmt.Printf("%d boxes: %d requests in %v, %.1f us a request, %d MB taken from the system, %.0f KB live a box at most\n", boxes, o.Asked,
+			took.Round(time.Millisecond), float64(took.Microseconds())/float64(o.Asked), after.Sys>>20, kb)
+		return took, o.Asked, kb, nil
 	}
-	small, n, err := cost(10, 200_000)
+	small, n, _, err := cost(10, 200_000)
 	if err != nil {
-		return 0, err
+		return 0, 0, err
 	}
-	large, m, err := cost(1000, 1_000_000)
+	large, m, kb, err := cost(1000, 1_000_000)
 	if err != nil {
-		return 0, err
+		return 0, 0, err
 	}
-	return (float64(large) / float64(m)) / (float64(small) / float64(n)), nil
+	return (float64(large) / float64(m)) / (float64(small) / float64(n)), kb, nil
 }
 
 // difference is how far loopback and simulated time lie apart.
