--- a/cmd/kitelab/lab.go
+++ b/cmd/kitelab/lab.go
@@ -31,9 +31,18 @@
 	pointMost           = 0.01
 	boxMemoryFor        = 4 * fleet.Second // of a day whose live heap is measured, with the collector at work often
 	boxMostKB           = 64               // live heap of one box of 1,000: its core, module, engine and open requests
+	bindingLeast        = 0.10             // refused on the days where decisions bind, on both sides
 	liveSeconds         = 10
 )
 
+// overLoads are days over capacity, made of the first three: those that bind
+// must refuse at least bindingLeast on both sides.
+var overLoads = []struct {
+	base  int
+	load  float64
+	binds bool
+}{{0, 1.1, false}, {0, 1.5, true}, {1, 1.5, true}}
+
 func (c *labCmd) Run() error {
 	var v verdict
 	load := func(name string) (fleet.Day, error) {
@@ -75,8 +84,8 @@
 	v.want(worst.latency <= latencyMost, "latency on loopback differs by %.3f, want %.2f", worst.latency, latencyMost)
 	v.want(worst.goodput <= goodputMost, "goodput on loopback differs by %.3f, want %.2f", worst.goodput, goodputMost)
 	v.want(late <= lateMost, "the callers were late by %d us, want %d", late, lateMost)
-	return v.end(fmt.Sprintf("lab: same=%v cover=%.3f scale=%.3f box_kb=%.0f latency=%.3f goodput=%.3f twice=%.4f late_us=%d", same, cover, ratio, boxKB,
-		worst.latency, worst.goodput, worst.twice, late))
+	return v.end(fmt.Sprintf("lab: same=%v cover=%.3f scale=%.3f box_kb=%.0f latency=%.3f goodput=%.3f binding=%d twice=%.4f late_us=%d", same, cover, ratio,
+		boxKB, worst.latency, worst.goodput, worst.binding, worst.twice, late))
 }
 
 // coverage compares equal settings on days drawn apart, 200 times.
@@ -161,7 +170,19 @@
 }
 
 // difference is how far loopback and simulated time lie apart.
-type difference struct{ latency, goodput, twice float64 }
+type difference struct {
+	latency, goodput, twice float64
+	binding                 int // days compared where the module turns work away
+}
+
+// refusedShare is the part of the requests that ended refused.
+func refusedShare(o *fleet.Outcome) float64 {
+	n := 0
+	for _, g := range o.Classes {
+		n += g.Refused
+	}
+	return float64(n) / float64(max(1, o.Asked))
+}
 
 // played is a day on loopback and in simulated time.
 type played struct {
@@ -169,6 +190,7 @@
 	day            fleet.Day
 	emulated, real *fleet.Outcome
 	late           int64
+	binds          bool // the module is to turn work away
 }
 
 // playAll plays the days, two at a time on loopback: more would be late on four cores.
@@ -216,6 +238,13 @@
 	again.name, changed.name = "slow-zone again", "calm-lunch with the running limit halved"
 	changed.day = halved(changed.day)
 	days = append(days, again, changed)
+	// Where the module turns work away: the comparison can fail where it matters.
+	for _, o := range overLoads {
+		p := days[o.base]
+		p.day.Load, p.binds = o.load, o.binds
+		p.name = fmt.Sprintf("%s at %.1f times capacity", p.name, o.load)
+		days = append(days, p)
+	}
 	if err := c.playAll(days); err != nil {
 		return worst, 0, err
 	}
@@ -227,11 +256,16 @@
 			e := p.emulated.Classes[j]
 			d.latency = max(d.latency, math.Abs(g.MedianMS-e.MedianMS)/e.MedianMS, math.Abs(g.P99MS-e.P99MS)/e.P99MS)
 		}
-		fmt.Printf("%s: score %.4f and goodput %.4f on loopback, %.4f and %.4f emulated; latencies lie %.3f apart at most; callers late by %d us\n",
-			p.name, p.real.Score, p.real.Whole, p.emulated.Score, p.emulated.Whole, d.latency, p.late)
-		if i < 3 {
+		refused := [2]float64{refusedShare(p.real), refusedShare(p.emulated)}
+		fmt.Printf("%s: score %.4f and goodput %.4f on loopback, %.4f and %.4f emulated; refused %.3f and %.3f; latencies lie %.3f apart at most; callers late by %d us\n",
+			p.name, p.real.Score, p.real.Whole, p.emulated.Score, p.emulated.Whole, refused[0], refused[1], d.latency, p.late)
+		if i < 3 || i >= 5 {
 			worst.latency, worst.goodput = max(worst.latency, d.latency), max(worst.goodput, d.goodput)
 		}
+		if p.binds {
+			worst.binding++
+			v.want(min(refused[0], refused[1]) >= bindingLeast, "%s refused %.3f and %.3f, want at least %.2f", p.name, refused[0], refused[1], bindingLeast)
+		}
 	}
 	worst.twice = math.Abs(days[1].real.Score - days[3].real.Score)
 	fmt.Printf("the same incident twice on loopback: scores lie %.4f apart\n", worst.twice)
