--- /dev/null
+++ b/internal/core/arrivals.go
@@ -0,0 +1,148 @@
+package core
+
+import (
+	"fmt"
+	"strconv"
+
+	"kiteslip"
+)
+
+// stampAhead is how far a caller's clock may be ahead of this one, and
+// patienceMost how many times the class's deadline a caller may say it waits.
+const (
+	stampAhead   = 5_000_000
+	patienceMost = 2
+)
+
+// Arrive takes in a request that was read at now; it may be answered before
+// Arrive returns. An error means that the request was not taken and nothing is
+// owed for it by the Core.
+func (c *Core) Arrive(now int64, r *Request) error {
+	if c.names[r.Name] != nil {
+		return fmt.Errorf("the id %q names an open request", r.Name)
+	}
+	class := &c.set.Module.Classes[r.Class]
+	// Guards what the module learns, of the time to be read and of patience,
+	// against figures that no caller of this site can mean.
+	switch {
+	case class.Effect == kiteslip.Keyed && r.Key == "":
+		return fmt.Errorf("a request of a keyed class has no key")
+	case r.Arrived > now+stampAhead:
+		return fmt.Errorf("the stamp lies %d ms ahead of the clock", (r.Arrived-now)/1000)
+	case r.Due-r.Arrived > patienceMost*class.Limit:
+		return fmt.Errorf("a wait of %d ms, where clients wait %d", (r.Due-r.Arrived)/1000, class.Limit/1000)
+	case r.Due <= now:
+		c.tooLate(r)
+		return nil
+	}
+	if class.Effect == kiteslip.Keyed {
+		r.entry, r.sum = keyName(r.Class, r.Key), bodySum(r.Body)
+		if c.foreign(r) {
+			return fmt.Errorf("the key %.40q belongs to a request with another body", r.Key)
+		}
+	} else if class.Effect == kiteslip.Repeatable && r.Subject != 0 && c.set.Module.ReuseFor > 0 {
+		r.entry = fmt.Sprint(r.Class, ":", r.Subject)
+	}
+	if c.retired(r) {
+		c.turnAway(r, Answer{Code: Refused})
+		return nil
+	}
+	// Guards the window of a key: counted from a stamp ahead of the clock, it would end late or begin anew.
+	r.Arrived = min(r.Arrived, now)
+	c.nextID++
+	r.id = c.nextID
+	c.open[r.id], c.names[r.Name] = r, r
+	c.touch(r)
+	c.owed++
+	c.counts.Read++
+	if c.dueAt == 0 || r.Due-dueMargin < c.dueAt {
+		c.dueAt = r.Due - dueMargin
+	}
+	c.events = append(c.events, kiteslip.Event{
+		Kind: kiteslip.Arrive, ID: r.id, Prior: c.prior(now, r), Class: r.Class, Tenant: r.Tenant,
+		Sender: r.Caller, Key: r.Subject, Deadline: r.Due, Waited: max(0, now-r.Arrived), Hint: r.Hint,
+		SizeKB: r.SizeKB, Rank: r.Rank, Write: r.Write,
+	})
+	return nil
+}
+
+// keyName names the entry of a key in the table.
+func keyName(class int, key string) string { return strconv.Itoa(class) + "/" + key }
+
+// tooLate answers a request whose caller had given up when it was read.
+func (c *Core) tooLate(r *Request) {
+	if c.set.Module.Classes[r.Class].Effect == kiteslip.Repeatable {
+		c.turnAway(r, Answer{Code: Refused})
+	} else { // another try may have run
+		c.turnAway(r, Answer{Code: Failed, Cause: Overdue})
+	}
+}
+
+// turnAway answers a request that the module never hears of.
+func (c *Core) turnAway(r *Request, a Answer) {
+	c.counts.Read++
+	c.owed++
+	r.phase = dropped
+	c.answer(r, a)
+}
+
+// retired says whether r is of a class that is no longer served, which callers
+// may learn late. A key that has run, or may have, is still answered as ever.
+func (c *Core) retired(r *Request) bool {
+	if r.Class >= len(c.set.Off) || !c.set.Off[r.Class] {
+		return false
+	}
+	e := c.table[r.entry]
+	return !c.keyed(r.Class) || c.owner && !c.inDoubt(r.Arrived) && (e == nil || e.ran == nil)
+}
+
+// foreign says whether the key of r stands for another request. Guards the
+// meaning of 'served': the result of that one was not made for this body.
+func (c *Core) foreign(r *Request) bool {
+	e := c.table[r.entry]
+	switch {
+	case e == nil:
+		return false
+	case e.ran != nil && r.Arrived <= max(e.guard, e.until):
+		return e.ran.sum != r.sum
+	}
+	return e.kept != nil && e.kept.phase == held && !e.kept.answered && e.kept.sum != r.sum
+}
+
+// prior finds the request that r repeats, and enters r where there is none.
+func (c *Core) prior(now int64, r *Request) kiteslip.RequestID {
+	if r.entry == "" {
+		return 0
+	}
+	keyed := c.set.Module.Classes[r.Class].Effect == kiteslip.Keyed
+	e := c.table[r.entry]
+	switch {
+	case e == nil:
+	case keyed && e.ran != nil && r.Arrived <= max(e.guard, e.until):
+		return e.ran.id
+	case e.kept != nil && r.Arrived <= e.until && e.kept.phase == held && !e.kept.answered:
+		return e.kept.id
+	case !keyed && e.kept != nil && r.Arrived <= e.until && (e.kept.phase == running ||
+		e.kept.phase == ended && e.kept.outcome == kiteslip.OK && r.Arrived <= e.kept.endedAt+c.set.Module.ReuseFor):
+		return e.kept.id
+	}
+	if keyed && (e == nil || e.ran == nil) {
+		// Two that come in one batch know of each other before the module has kept the first.
+		c.table[r.entry] = &entry{kept: r, until: max(now, r.Arrived) + c.set.Module.Classes[r.Class].Window}
+	}
+	return 0
+}
+
+// Gone takes in that nobody waits for r any longer.
+func (c *Core) Gone(r *Request) {
+	if r.answered {
+		return
+	}
+	c.counts.Gone++
+	c.settle(r)
+	c.events = append(c.events, kiteslip.Event{Kind: kiteslip.Gone, ID: r.id})
+	if r.phase == held || r.phase == copying {
+		c.drop(r)
+	}
+	c.letGo(r)
+}
--- /dev/null
+++ b/internal/server/engine.go
@@ -0,0 +1,169 @@
+package server
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+	"go.uber.org/zap"
+
+	"kiteslip"
+	"kiteslip/internal/core"
+	"kiteslip/internal/wire"
+)
+
+// check is a deep health check that waits for the engine.
+type check struct {
+	from   *session
+	stream uint32
+	until  int64
+}
+
+// reach starts the search for the engine at the address that holds now. A
+// search that is still under way for another address ends.
+func (s *Server) reach() {
+	if s.cfg.Engine != "" {
+		go s.dial(s.dials.Add(1), s.cfg.Engine)
+	}
+}
+
+// dial tries to reach the engine until a link stands or another search begins.
+func (s *Server) dial(search int64, address string) {
+	for !s.over.Load() && s.dials.Load() == search {
+		ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(dialMost))
+		c, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+		cancel()
+		if err == nil {
+			if _, err = s.client.EnrollContext(c, &engineConn{s: s, search: search}); err == nil {
+				return
+			}
+		}
+		s.log.Debug("engine", zap.Error(err))
+		time.Sleep(redial * time.Microsecond)
+	}
+}
+
+// Run starts a request where its class is served.
+func (s *Server) Run(r *core.Request) {
+	if backend := s.cfg.Backends[r.Class]; backend != "" {
+		s.call(backend, r)
+		return
+	}
+	s.link.Run(r)
+}
+
+// Hello takes in that the engine is up.
+func (s *Server) Hello(cold bool, up int64) {
+	s.log.Info("engine", zap.Bool("cold", cold), zap.Int64("up_ms", up/1000))
+	s.core.Warmth(cold, now()-up)
+}
+
+// Done takes in the end of a run.
+func (s *Server) Done(r *core.Request, outcome kiteslip.Outcome, elapsed int64, result []byte) {
+	s.core.Done(r, outcome, elapsed, result)
+}
+
+// Stats takes in the gauges.
+func (s *Server) Stats(values []float32) { s.core.Gauges(wire.NameGauges(values, s.cfg.Gauges)) }
+
+// Tested takes in the end of a deep health check's work.
+func (s *Server) Tested(tag string, ok bool) {
+	if c, waits := s.checks[tag]; waits {
+		delete(s.checks, tag)
+		c.from.checks--
+		good, _ := s.health()
+		c.from.verdict(c.stream, ok && good)
+	}
+}
+
+// engineConn is the connection to the engine.
+type engineConn struct {
+	s      *Server
+	conn   gnet.Conn
+	search int64 // that found it
+	out    [][]byte
+	gone   bool
+}
+
+// opened takes the connection into use in place of the one before, which the
+// engine no longer minds. What that one still had to say is said again here.
+func (e *engineConn) opened(c gnet.Conn) {
+	e.conn = c
+	if e.search != e.s.dials.Load() {
+		e.s.onLoop(e.hangUp) // the engine has moved meanwhile
+		return
+	}
+	old := e.s.engine
+	if old != nil {
+		old.flush()
+		e.s.lost()
+	}
+	e.s.engine = e
+	e.s.link.Attach(e.send)
+	if old != nil {
+		old.hangUp()
+	}
+}
+
+func (e *engineConn) hangUp() {
+	if !e.gone {
+		hangUp(e.conn)
+	}
+}
+
+func (e *engineConn) idle() idle { return idle{} }
+
+func (e *engineConn) unsent() int { return 0 }
+
+func (e *engineConn) peer() gnet.Conn { return e.conn }
+
+// feed takes in notices. Guards against those that a replaced link still
+// brings: the same ones come on the link in use, under the same numbers.
+func (e *engineConn) feed(b []byte) (int, error) {
+	if e.s.engine != e {
+		return len(b), nil
+	}
+	n, err := e.s.link.Feed(b)
+	if err != nil {
+		e.s.log.Error("engine", zap.Error(err))
+	}
+	return n, err
+}
+
+func (e *engineConn) closed() {
+	e.gone = true
+	if e.s.engine != e {
+		return
+	}
+	e.s.engine = nil
+	e.s.lost()
+	if !e.s.over.Load() {
+		e.s.log.Warn("the link to the engine is gone", zap.Int("running", e.s.link.Running()))
+		e.s.reach()
+	}
+}
+
+// lost takes in the end of the link in use; deep checks that wait for it fail.
+func (s *Server) lost() {
+	s.link.Lost()
+	for tag := range s.checks {
+		s.Tested(tag, false)
+	}
+}
+
+func (e *engineConn) send(parts ...[]byte) {
+	if len(e.out) == 0 {
+		e.s.dirty = append(e.s.dirty, e)
+	}
+	e.out = append(e.out, parts...)
+	e.s.schedule()
+}
+
+// flush writes what waits. Guards the descriptor of a closed connection, which
+// the system may have given to another one already.
+func (e *engineConn) flush() {
+	if !e.gone {
+		e.out = gather(e.conn, e.out)
+	}
+}
--- /dev/null
+++ b/internal/server/round.go
@@ -0,0 +1,131 @@
+package server
+
+import (
+	"runtime"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+	"go.uber.org/zap"
+
+	"kiteslip/internal/registry"
+)
+
+// handler is what a connection's bytes are given to.
+type handler interface {
+	opened(c gnet.Conn)
+	feed(b []byte) (int, error) // returns how many bytes were used
+	closed()
+	flush()
+	idle() idle      // what it says of itself when places are short
+	unsent() int     // bytes of answers that were not taken yet
+	peer() gnet.Conn // its connection
+}
+
+// schedule asks for one round after all that is ready has been read. gnet has
+// no hook at the end of a poll; a task queued on the loop runs there.
+func (s *Server) schedule() {
+	if !s.scheduled {
+		s.scheduled = true
+		s.onLoop(s.round)
+	}
+}
+
+// round hands what is ready to the core in one go and carries out what comes back.
+func (s *Server) round() {
+	if s.over.Load() {
+		return
+	}
+	s.scheduled = false
+	t := now()
+	requests, _ := s.core.Held()
+	if requests > 0 && t >= s.statAt {
+		s.statAt = t + gaugeEvery
+		s.link.Stat()
+	}
+	s.core.Step(t)
+	s.flush()
+	s.expire(t)
+	s.tidy(t)
+	s.tend(t)
+	s.leave(t)
+	s.report(t)
+	s.arm()
+	runtime.Gosched() // what is ready beside the loop (connections to hand over) runs once a round
+}
+
+// flush writes all that is ready to go.
+func (s *Server) flush() {
+	for i := 0; i < len(s.dirty); i++ {
+		s.dirty[i].flush()
+	}
+	s.dirty = s.dirty[:0]
+}
+
+// arm sets the timer for the next thing that time brings.
+func (s *Server) arm() {
+	next := s.reportAt
+	if at := s.core.Next(); at != 0 {
+		next = min(next, at)
+	}
+	if s.stopAt != 0 {
+		next = min(next, now()+20_000)
+	}
+	if s.handing.peer != nil {
+		next = min(next, max(s.handing.loadAt, now()))
+	}
+	if s.webs > 0 || len(s.backends) > 0 {
+		next = min(next, max(s.expireAt, now()))
+	}
+	if next != s.timerAt || next <= now() {
+		s.timerAt = next
+		s.timer.Reset(max(time.Duration(next-now())*time.Microsecond, 0))
+	}
+}
+
+// report tells the registry, and now and then the log, how things are.
+func (s *Server) report(t int64) {
+	if t >= s.reportAt {
+		s.reportAt = t + registry.Interval
+		s.link.Expire()
+		s.guard(t)
+		for tag, c := range s.checks {
+			if t >= c.until {
+				s.Tested(tag, false)
+			}
+		}
+		if s.beacon == nil && s.cfg.Registry != "" {
+			s.reregister()
+		}
+		if s.beacon != nil {
+			if err := s.beacon.Report(s.core.Draining() || s.core.Withdrawn()); err != nil {
+				s.log.Debug("registry", zap.Error(err))
+			}
+		}
+	}
+	if t >= s.logAt {
+		s.logAt = t + statusEvery
+		s.status()
+	}
+}
+
+func (s *Server) status() {
+	n := s.core.Counts()
+	requests, keys := s.core.Held()
+	s.log.Info("totals", zap.Int("read", n.Read), zap.Int("served", n.Served), zap.Int("refused", n.Refused),
+		zap.Int("failed", n.Failed), zap.Int("gone", n.Gone), zap.Int("guarded", n.Guarded),
+		zap.Int("in_hand", requests), zap.Int("keys", keys), zap.Int("connections", len(s.sessions)))
+}
+
+// gather writes the parts in as few system calls as they fit into, and
+// returns the emptied list for the next ones.
+func gather(c gnet.Conn, parts [][]byte) [][]byte {
+	for rest := parts; len(rest) > 0; {
+		n := min(len(rest), iovMost)
+		if _, err := c.Writev(rest[:n]); err != nil {
+			break // gnet has closed the connection
+		}
+		rest = rest[n:]
+	}
+	clear(parts)
+	return parts[:0]
+}
