--- a/cmd/kitelab/main.go
+++ b/cmd/kitelab/main.go
@@ -21,6 +21,7 @@
 
 	Pools poolsCmd `cmd:"" help:"Class pools against none, in simulated time."`
 	Keys  keysCmd  `cmd:"" help:"Keyed results over kills, losses of power and restarts."`
+	Calls callsCmd `cmd:"" help:"Calls below under faults, and what a call costs, against the real program."`
 	Door  doorCmd  `cmd:"" help:"A thousand connections that ask from the start, against the real program."`
 }
 
--- /dev/null
+++ b/cmd/simhost/hosts_test.go
@@ -0,0 +1,408 @@
+package main
+
+import (
+	"encoding/binary"
+	"fmt"
+	"io"
+	"math"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+
+	"kiteslip"
+	"kiteslip/internal/core"
+	"kiteslip/internal/wire"
+)
+
+// The simulator's host and the real server's core are to make the same of the
+// same events. Each script under testdata/hosts has events and the actions that
+// must follow; both hosts play it.
+//
+//	MS arrive N CLASS [timeout=MS] [again] [prior=N]
+//	MS need|gone N
+//	MS called|done N OUTCOME
+//	MS drain MS
+//	> MS ACTION N ...
+
+// happening is one line of a script.
+type happening struct {
+	at    int64
+	event kiteslip.Event
+}
+
+var outcomes = map[string]kiteslip.Outcome{"ok": kiteslip.OK, "failed": kiteslip.Failed, "full": kiteslip.Full, "timedout": kiteslip.TimedOut,
+	"unreachable": kiteslip.Unreachable, "reset": kiteslip.Reset, "cancelled": kiteslip.Cancelled, "moot": kiteslip.Moot}
+
+var kinds = map[string]kiteslip.EventKind{"arrive": kiteslip.Arrive, "need": kiteslip.Needs, "gone": kiteslip.Gone, "called": kiteslip.Called,
+	"done": kiteslip.Done, "drain": kiteslip.Drain}
+
+const origin = 1_000_000_000 // of the scripts' clock, microseconds
+
+func readScript(t *testing.T, text string) (all []happening, want []string) {
+	for _, line := range strings.Split(text, "\n") {
+		words := strings.Fields(line)
+		if len(words) == 0 || words[0] == "#" {
+			continue
+		}
+		if words[0] == ">" {
+			want = append(want, strings.Join(words[1:], " "))
+			continue
+		}
+		number := func(s string) int64 {
+			n, err := strconv.ParseInt(s, 10, 64)
+			if err != nil {
+				t.Fatalf("%q: %v", line, err)
+			}
+			return n
+		}
+		h := happening{at: origin + number(words[0])*1000}
+		e := &h.event
+		if e.Kind = kinds[words[1]]; e.Kind == 0 {
+			t.Fatalf("%q: no such event", line)
+		}
+		if e.Kind == kiteslip.Drain {
+			e.Deadline = origin + number(words[2])*1000
+		} else {
+			e.ID = kiteslip.RequestID(number(words[2]))
+		}
+		switch e.Kind {
+		case kiteslip.Arrive:
+			e.Class, e.SizeKB, e.Rank = int(number(words[3])), 20, 0.5
+			for _, word := range words[4:] {
+				name, value, _ := strings.Cut(word, "=")
+				switch name {
+				case "timeout":
+					e.Deadline = h.at + number(value)*1000
+				case "again":
+					e.Again = true
+				case "prior":
+					e.Prior = kiteslip.RequestID(number(value))
+				}
+			}
+		case kiteslip.Called, kiteslip.Done:
+			e.Outcome = outcomes[words[3]]
+		}
+		all = append(all, h)
+	}
+	return all, want
+}
+
+// side is one host under a script.
+type side interface {
+	next() int64 // a timer is due then; 0 = none
+	step(now int64, events []kiteslip.Event)
+	said() []string
+}
+
+func play(s side, all []happening, until int64) []string {
+	s.step(origin, nil)
+	for now := int64(origin); now < until; {
+		at := until
+		if len(all) > 0 {
+			at = all[0].at
+		}
+		if n := s.next(); n != 0 {
+			at = min(at, max(n, now))
+		}
+		now = at
+		var events []kiteslip.Event
+		for len(all) > 0 && all[0].at == now {
+			events = append(events, all[0].event)
+			all = all[1:]
+		}
+		s.step(now, events)
+	}
+	return s.said()
+}
+
+// speech words actions alike for both hosts.
+type speech struct {
+	now   int64
+	lines []string
+}
+
+func (s *speech) say(format string, args ...any) {
+	s.lines = append(s.lines, fmt.Sprintf("%d ", (s.now-origin)/1000)+fmt.Sprintf(format, args...))
+}
+func (s *speech) said() []string { return s.lines }
+
+// simulated plays a script over the simulator's wire.
+type simulated struct {
+	speech
+	t        *testing.T
+	in       io.Writer
+	out      io.Reader
+	settings []byte
+	timers   map[uint64]int64
+	begun    map[uint32]bool
+	calledAt map[kiteslip.RequestID]int64
+	ranAt    map[kiteslip.RequestID]int64
+	enlisted bool
+}
+
+func newSimulated(t *testing.T, settings []byte) *simulated {
+	in, hostIn := io.Pipe()
+	hostOut, out := io.Pipe()
+	go func() { out.CloseWithError(serve(in, out)) }()
+	t.Cleanup(func() { hostIn.Close() })
+	return &simulated{t: t, in: hostIn, out: hostOut, settings: settings, timers: map[uint64]int64{}, begun: map[uint32]bool{},
+		calledAt: map[kiteslip.RequestID]int64{}, ranAt: map[kiteslip.RequestID]int64{}}
+}
+
+func (s *simulated) next() int64 {
+	next := int64(0)
+	for _, at := range s.timers {
+		if next == 0 || at < next {
+			next = at
+		}
+	}
+	return next
+}
+
+func (s *simulated) step(now int64, events []kiteslip.Event) {
+	s.now = now
+	le := binary.LittleEndian
+	var body []byte
+	n := 0
+	add := func(code byte, fields ...any) {
+		n++
+		body = le.AppendUint16(append(body, code), 1)
+		for _, f := range fields {
+			switch f := f.(type) {
+			case uint8:
+				body = append(body, f)
+			case uint16:
+				body = le.AppendUint16(body, f)
+			case uint32:
+				body = le.AppendUint32(body, f)
+			case int64:
+				body = le.AppendUint64(body, uint64(f))
+			case uint64:
+				body = le.AppendUint64(body, f)
+			case float64:
+				body = le.AppendUint32(body, math.Float32bits(float32(f)))
+			}
+		}
+	}
+	if !s.enlisted {
+		s.enlisted = true
+		add(3, uint64(7), uint32(len(s.settings)))
+		body = append(body, s.settings...)
+	}
+	for _, e := range events {
+		id := uint32(e.ID)
+		switch e.Kind {
+		case kiteslip.Arrive:
+			bits := uint8(0)
+			if e.Again {
+				bits |= 2
+			}
+			add(1, id, uint16(e.Class), uint16(0), uint64(0), e.Deadline, uint32(0), e.SizeKB, e.Rank, bits, uint16(0), uint32(0), uint32(e.Prior))
+		case kiteslip.Needs:
+			add(9, id)
+		case kiteslip.Gone:
+			add(7, id)
+		case kiteslip.Called:
+			add(4, id, uint16(e.Outcome), uint32(now-s.calledAt[e.ID]))
+		case kiteslip.Done:
+			add(8, id, uint16(e.Outcome), uint32(now-s.ranAt[e.ID]))
+		case kiteslip.Drain:
+			add(2, e.Deadline)
+		}
+	}
+	var due []uint64
+	for token, at := range s.timers {
+		if at <= now {
+			due = append(due, token)
+			delete(s.timers, token)
+		}
+	}
+	slices.Sort(due)
+	for _, token := range due {
+		add(5, token, uint8(0))
+	}
+	head := le.AppendUint32(le.AppendUint32(le.AppendUint64(nil, uint64(now)), uint32(len(body))), uint32(n))
+	if _, err := s.in.Write(append(head, body...)); err != nil {
+		s.t.Fatal(err)
+	}
+	var size [4]byte
+	if _, err := io.ReadFull(s.out, size[:]); err != nil {
+		s.t.Fatal(err)
+	}
+	reply := make([]byte, le.Uint32(size[:]))
+	if _, err := io.ReadFull(s.out, reply); err != nil {
+		s.t.Fatal(err)
+	}
+	s.read(reply)
+}
+
+// read words the actions of one reply.
+func (s *simulated) read(b []byte) {
+	le := binary.LittleEndian
+	for len(b) > 0 {
+		code := b[0]
+		b = b[3:]
+		id := func() uint32 { v := le.Uint32(b); b = b[4:]; return v }
+		switch code {
+		case 65:
+			after := id()
+			s.timers[le.Uint64(b)] = s.now + int64(after)
+			b = b[8:]
+		case 66:
+			v := id()
+			s.begun[v] = true
+			s.ranAt[kiteslip.RequestID(v)] = s.now
+			s.say("run %d", v)
+		case 67:
+			v := id()
+			s.calledAt[kiteslip.RequestID(v)] = s.now
+			s.say("call %d %d", v, id())
+		case 68:
+			b = b[2+int(le.Uint16(b)):]
+		case 69:
+			s.say("health %v", b[0] == 1)
+			b = b[2:]
+		case 70:
+			id()
+		case 71:
+			s.say("halt %d", id())
+		case 73:
+			s.say("reuse %d", id())
+		case 74:
+			id()
+		case 75:
+			id()
+			id()
+		case 76:
+			s.say("fail %d", id())
+		case 77:
+			s.say("skip %d", id())
+		case 79:
+			v, after := id(), id()
+			if last := b[0] == 1; s.begun[v] {
+				s.say("fail %d", v)
+			} else {
+				s.say("refuse %d %d %v", v, after/1000, last)
+			}
+			b = b[1:]
+		default:
+			s.t.Fatalf("action code %d", code)
+		}
+	}
+}
+
+// real plays a script on the core, as the server's loop does.
+type real struct {
+	speech
+	t     *testing.T
+	core  *core.Core
+	open  map[kiteslip.RequestID]*core.Request
+	ids   map[*core.Request]kiteslip.RequestID
+	calls map[kiteslip.RequestID]uint64 // tokens
+	good  bool
+}
+
+func newReal(t *testing.T, text []byte) *real {
+	settings, _, err := wire.ParseSettings(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &real{t: t, open: map[kiteslip.RequestID]*core.Request{}, ids: map[*core.Request]kiteslip.RequestID{}, calls: map[kiteslip.RequestID]uint64{}}
+	if r.core, err = core.New(core.Settings{Module: settings, Seed: 7}, r); err != nil {
+		t.Fatal(err)
+	}
+	r.core.Below(r)
+	return r
+}
+
+func (r *real) next() int64 { return r.core.Next() }
+
+func (r *real) step(now int64, events []kiteslip.Event) {
+	r.now = now
+	for _, e := range events {
+		req := r.open[e.ID]
+		switch e.Kind {
+		case kiteslip.Arrive:
+			req = &core.Request{Name: fmt.Sprint(e.ID), Class: e.Class, Arrived: now, Due: e.Deadline, Again: e.Again, SizeKB: e.SizeKB, Rank: e.Rank,
+				Stream: uint32(e.ID), From: r, Body: []byte("body")}
+			if e.Class == 1 {
+				req.Key = fmt.Sprint("key of ", e.ID)
+				if e.Prior != 0 {
+					req.Key = r.open[e.Prior].Key
+				}
+			}
+			r.open[e.ID], r.ids[req] = req, e.ID
+			if err := r.core.Arrive(now, req); err != nil {
+				r.t.Fatal(err)
+			}
+		case kiteslip.Needs:
+			r.core.Needs(req, uint64(e.ID), nil)
+		case kiteslip.Gone:
+			r.core.Gone(req)
+		case kiteslip.Called:
+			r.core.Called(now, r.calls[e.ID], e.Outcome, nil)
+		case kiteslip.Done:
+			r.core.Done(req, e.Outcome, 0, nil)
+		case kiteslip.Drain:
+			r.core.Drain(now, e.Deadline)
+		}
+	}
+	r.core.Step(now)
+	if good, _ := r.core.Health(); good != r.good {
+		r.good = good
+		r.say("health %v", good)
+	}
+}
+
+func (r *real) Run(q *core.Request)            { r.say("run %d", r.ids[q]) }
+func (r *real) Resume(q *core.Request)         { r.say("run %d", r.ids[q]) }
+func (r *real) Halt(q *core.Request)           { r.say("halt %d", r.ids[q]) }
+func (r *real) Skip(q *core.Request, _ uint64) { r.say("skip %d", r.ids[q]) }
+func (r *real) Feed(*core.Request, []byte)     {}
+func (r *real) Abandon(uint64)                 {}
+func (r *real) Answer(stream uint32, a core.Answer) {
+	switch a.Code {
+	case core.Refused:
+		r.say("refuse %d %d %v", stream, a.HoldOff/1000, a.NoMore)
+	case core.Failed:
+		if a.Cause != core.RunFailed {
+			r.say("fail %d", stream)
+		}
+	}
+}
+
+func (r *real) Call(token uint64, ref string, _ []byte, patience int64) {
+	id, _ := strconv.Atoi(ref)
+	r.calls[kiteslip.RequestID(id)] = token
+	r.say("call %d %d", id, patience)
+}
+
+func TestHostsAgree(t *testing.T) {
+	settings, err := os.ReadFile("testdata/hosts/site.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	files, _ := filepath.Glob("testdata/hosts/*.txt")
+	if len(files) == 0 {
+		t.Fatal("there are no scripts")
+	}
+	for _, file := range files {
+		text, err := os.ReadFile(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Run(filepath.Base(file), func(t *testing.T) {
+			all, want := readScript(t, string(text))
+			until := all[len(all)-1].at + 1_000_000
+			for name, host := range map[string]side{"simulator's host": newSimulated(t, settings), "real server's core": newReal(t, settings)} {
+				got := slices.DeleteFunc(play(host, all, until), func(s string) bool { return strings.Contains(s, " reuse ") })
+				if !slices.Equal(got, want) {
+					t.Errorf("%s:\n%s\nwant:\n%s", name, strings.Join(got, "\n"), strings.Join(want, "\n"))
+				}
+			}
+		})
+	}
+}
--- a/internal/core/answers.go
+++ b/internal/core/answers.go
@@ -29,7 +29,7 @@
 // meaning of a refusal: the module refuses a safe request that runs, but
 // callers are promised that what is refused never ran, so that one fails.
 func (c *Core) giveUp(now int64, r *Request, a *kiteslip.Action) Answer {
-	if a.Kind == kiteslip.Refuse && r.phase == held {
+	if a.Kind == kiteslip.Refuse && r.phase == held && !r.begun {
 		return Answer{Code: Refused, HoldOff: a.After, NoMore: a.On}
 	}
 	if now >= r.Due-c.slack() {
@@ -54,6 +54,7 @@
 // let go: r itself may be kept for its result.
 func (c *Core) settle(r *Request) {
 	r.answered, r.From = true, nil
+	c.letCallGo(r)
 	c.touch(r)
 	c.owed--
 }
@@ -106,7 +107,7 @@
 			continue
 		}
 		c.counts.Guarded++
-		if r.phase == held {
+		if r.phase == held && !r.begun {
 			c.answer(r, Answer{Code: Refused})
 		} else {
 			c.answer(r, Answer{Code: Failed, Cause: Overdue})
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -37,6 +37,7 @@
 	set     Settings
 	worker  *kiteslip.Worker
 	runner  Runner
+	calls   calls
 	nextID  kiteslip.RequestID
 	open    map[kiteslip.RequestID]*Request // not over, or running on
 	names   map[string]*Request
@@ -93,10 +94,11 @@
 			return nil, err
 		}
 	}
+	e, _ := runner.(Engine)
 	return &Core{
 		set: set, pools: pools, worker: worker, runner: runner, good: true, stored: true, owner: true,
 		open: map[kiteslip.RequestID]*Request{}, names: map[string]*Request{}, table: map[string]*entry{},
-		claims: map[kiteslip.RequestID]*Request{}, classes: make([]Answers, len(set.Module.Classes)),
+		claims: map[kiteslip.RequestID]*Request{}, calls: calls{engine: e, out: map[uint64]*Request{}}, classes: make([]Answers, len(set.Module.Classes)),
 	}, nil
 }
 
--- a/internal/core/keys.go
+++ b/internal/core/keys.go
@@ -276,6 +276,8 @@
 		if r.phase == running && c.claims[r.id] == nil {
 			runs++
 			sizeKB += r.SizeKB * max(1, c.set.Module.RunFactor)
+		} else if r.phase == paused {
+			sizeKB += r.SizeKB * max(1, c.set.Module.RunFactor)
 		} else if !r.answered {
 			sizeKB += r.SizeKB
 		}
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -56,11 +56,12 @@
 	Key     string // the same for all tries of one request, of keyed classes
 	Subject uint64 // what a read is about; 0 = untold
 	Arrived int64  // when it came to the machine
-	Due     int64  // when its caller gives up
+	Due     int64  // when its caller gives up; 0 = untold, until Arrive sets it by the class
 	Hint    int64  // the work to expect, 0 = untold
 	SizeKB  float64
 	Rank    float64
 	Write   bool
+	Again   bool // marked as a further try or second copy
 	Body    []byte
 	Stream  uint32
 	From    Answerer
@@ -75,6 +76,9 @@
 	outcome  kiteslip.Outcome // of its run, once over
 	result   []byte
 	copies   []*Request // wait for the result of this one
+	stand    *stand     // the call that its run needs; nil = none
+	halting  bool       // the module has stopped its run
+	begun    bool       // it was handed to the Runner once
 
 	pooled  pooled  // what the pools' book has of it
 	touched bool    // it is in the list of those to look at
@@ -93,6 +97,7 @@
 const (
 	held    phase = iota
 	running       // handed to the Runner
+	paused        // stopped with its work kept
 	copying       // waits for the result of another
 	ended         // its run is over
 	dropped       // over without a run
--- a/internal/core/round.go
+++ b/internal/core/round.go
@@ -92,6 +92,12 @@
 			c.drop(r)
 		}
 		c.letGo(r)
+	case kiteslip.Call:
+		c.call(now, r, a.After)
+	case kiteslip.Skip:
+		c.skip(r)
+	case kiteslip.Halt:
+		c.halt(r)
 	case kiteslip.Reuse:
 		c.reuse(r)
 	case kiteslip.Keep:
--- a/internal/core/runs.go
+++ b/internal/core/runs.go
@@ -7,6 +7,11 @@
 	if r.phase != running {
 		return
 	}
+	c.abandon(r)
+	if outcome == kiteslip.Cancelled && c.stopped(r) {
+		return
+	}
+	r.stand = nil
 	r.phase, r.outcome, r.result, r.endedAt = ended, outcome, result, r.began+elapsed
 	c.touch(r)
 	r.unknown = r.unknown && outcome != kiteslip.OK
@@ -87,6 +92,9 @@
 
 // run starts r unless a rule forbids it.
 func (c *Core) run(now int64, r *Request) {
+	if r.phase == paused {
+		c.resume(r)
+	}
 	if r.phase != held {
 		return
 	}
@@ -117,7 +125,7 @@
 		}
 		e.ran, e.guard = r, r.Arrived+class.Window+keyMargin
 	}
-	r.phase, r.began = running, now
+	r.phase, r.began, r.begun = running, now, true
 	c.touch(r)
 	if class.Effect == kiteslip.Keyed && c.owner && c.journal != nil && !r.recorded {
 		c.claims[r.id] = r // it was not prepared: its place waits for the record
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -17,13 +17,15 @@
 type Events interface {
 	Hello(cold bool, up int64) // the engine's cores came up that many microseconds ago
 	Done(r *core.Request, outcome kiteslip.Outcome, elapsed int64, result []byte)
+	Needs(r *core.Request, notice uint64, body []byte) // it stands at a call
 	Stats(values []float32)
 	Tested(tag string, ok bool)
+	Stray(cause, line string) // what was turned away, or names no run here
 }
 
 const (
 	maxLine   = 4 << 10
-	maxResult = 64 << 10 // a result may hold 4 KiB; more is not believed
+	maxResult = 64 << 10 // a result may hold 4 KiB, and so may a call; more is not believed
 )
 
 // ErrProtocol says that the engine sent what is not a notice.
@@ -35,6 +37,10 @@
 	written int64 // when it was last written to a link; 0 = the engine has not seen it
 	lost    bool  // that link is gone, and the engine may or may not have read it
 	crossed bool  // that link is gone
+	heard   bool  // a notice of it came since it was written: it was read
+	resumed bool  // it goes on, and is not begun
+	reply   word  // the last to what it needed
+	halt    word
 }
 
 // Link is the state of the conversation with one engine.
@@ -93,7 +99,9 @@
 	sure := min(l.read, l.now()-lossSpan)
 	for _, u := range l.runs {
 		u.crossed = u.written != 0
-		u.lost = u.lost || u.crossed && u.written >= sure
+		u.lost = u.lost || u.crossed && !u.heard && u.written >= sure
+		u.reply.lose(sure)
+		u.halt.lose(sure)
 	}
 }
 
@@ -123,10 +131,14 @@
 }
 
 func (l *Link) write(u *run) {
-	if u.written == 0 {
+	if u.written == 0 && !u.resumed {
 		l.tries++
 	}
-	u.written, u.lost, u.crossed = l.now(), false, false
+	u.written, u.lost, u.crossed, u.heard = l.now(), false, false, false
+	if u.resumed {
+		l.send(fmt.Appendf(nil, "RESUME %s\r\n", u.r.Name))
+		return
+	}
 	line := fmt.Appendf(nil, "RUN %s %s %d\r\n", u.r.Name, l.classes[u.r.Class], len(u.r.Body))
 	l.send(line, u.r.Body, crlf)
 }
@@ -209,13 +221,13 @@
 		if err1 != nil || err2 != nil || err3 != nil || !known || size < 0 || size > maxResult {
 			return bad()
 		}
-		if len(b) < used+size+len(crlf) {
-			return 0, nil
-		}
-		result := append([]byte(nil), b[used:used+size]...)
-		if !bytes.Equal(b[used+size:used+size+len(crlf)], crlf) {
+		result, whole, ok := content(b[used:], size)
+		if !ok {
 			return bad()
 		}
+		if !whole {
+			return 0, nil
+		}
 		used += size + len(crlf)
 		if !l.advance(number) {
 			break
@@ -223,6 +235,35 @@
 		if u := l.runs[string(words[2])]; u != nil {
 			delete(l.runs, u.r.Name)
 			l.events.Done(u.r, outcome, int64(ms*1000), result)
+		} else {
+			l.events.Stray("engine_stray_done", string(line))
+		}
+	case "NEED":
+		if len(words) != 4 {
+			return bad()
+		}
+		number, err1 := strconv.ParseUint(string(words[1]), 10, 64)
+		size, err2 := strconv.Atoi(string(words[3]))
+		if err1 != nil || err2 != nil || size < 0 || size > maxResult {
+			return bad()
+		}
+		body, whole, ok := content(b[used:], size)
+		if !ok {
+			return bad()
+		}
+		if !whole {
+			return 0, nil
+		}
+		used += size + len(crlf)
+		if !l.advance(number) {
+			break
+		}
+		if u := l.runs[string(words[2])]; u != nil {
+			u.heard, u.lost = true, false
+			u.reply = word{} // it has gone on since: what was said to it arrived
+			l.events.Needs(u.r, number, body)
+		} else {
+			l.events.Stray("engine_stray_need", string(line))
 		}
 	case "NOTE":
 		if len(words) < 2 {
@@ -241,6 +282,7 @@
 		}
 		l.events.Tested(string(words[1]), string(words[2]) == "complete")
 	case "NO":
+		l.events.Stray("engine_no", string(line))
 		// A RUN that was not carried out: nothing was started.
 		if len(words) >= 3 && string(words[1]) == "RUN" {
 			if u := l.runs[string(words[2])]; u != nil {
@@ -258,6 +300,18 @@
 	"complete": kiteslip.OK, "error": kiteslip.Failed, "cancelled": kiteslip.Cancelled, "unknown": kiteslip.Moot,
 }
 
+// content takes the bytes that follow a line, and the CR LF after them. whole
+// says that all are there, ok that they are as they must be.
+func content(b []byte, size int) (content []byte, whole, ok bool) {
+	if len(b) < size+len(crlf) {
+		return nil, false, true
+	}
+	if !bytes.Equal(b[size:size+len(crlf)], crlf) {
+		return nil, false, false
+	}
+	return append([]byte(nil), b[:size]...), true, true
+}
+
 // advance notes the number of a notice; false means that it was read before.
 func (l *Link) advance(number uint64) bool {
 	if number <= l.last {
@@ -298,9 +352,10 @@
 	t := l.now()
 	for _, u := range l.runs {
 		young := t-u.written < u.r.Hint/quickest
-		if u.written == 0 || u.lost && (young || l.safe[u.r.Class]) {
+		if u.written == 0 || u.lost && (young || u.resumed || l.safe[u.r.Class]) {
 			l.write(u)
 		}
+		l.again(u)
 	}
 }
 
--- a/internal/figures/figures.go
+++ b/internal/figures/figures.go
@@ -5,6 +5,8 @@
 import (
 	"fmt"
 	"strings"
+
+	"kiteslip/internal/reject"
 )
 
 // Class is what became of the requests of one class since the start.
@@ -33,6 +35,8 @@
 	Applied, Rejected int // configuration files at SIGHUP
 	Pools             []Pool
 	Keys              *Keys // nil = none are kept
+	Ledger            *Ledger
+	RejectedBy        []reject.Total // what was turned away unread, by cause
 }
 
 const prefix = "app."
@@ -59,6 +63,12 @@
 	if f.Keys != nil {
 		f.Keys.append(line)
 	}
+	if f.Ledger != nil {
+		f.Ledger.append(line)
+	}
+	for _, r := range f.RejectedBy {
+		line("rejected."+clean.Replace(r.Cause), r.Count, "c")
+	}
 	return b
 }
 
@@ -106,3 +116,18 @@
 	line("keys.disk_kb", k.DiskKB, "g")
 	line("keys.unrecorded_runs", k.Unrecorded, "c")
 }
+
+// Ledger are the figures of calls below.
+type Ledger struct {
+	Out  int            // calls that are out
+	Late int            // ends that nobody waited for any more
+	Ends []reject.Total // calls by how they ended
+}
+
+func (l *Ledger) append(line func(name string, value int, kind string)) {
+	line("ledger.out", l.Out, "g")
+	line("ledger.late", l.Late, "c")
+	for _, end := range l.Ends {
+		line("ledger."+end.Cause, end.Count, "c")
+	}
+}
--- a/internal/lab/probe/platform.go
+++ b/internal/lab/probe/platform.go
@@ -17,3 +17,17 @@
 		},
 	})
 }
+
+// WithLedger adds to a platform's file the ledger that classes call, where calls
+// says so, and the share of the worth that is left without a call.
+func WithLedger(text []byte, ledger string, calls []bool, skip []float64) ([]byte, error) {
+	var file map[string]any
+	if err := json.Unmarshal(text, &file); err != nil {
+		return nil, err
+	}
+	file["ledger"] = ledger
+	family := file["settings"].(map[string]any)["family_info"].(map[string]any)
+	family["below"], family["class_calls"], family["class_skip_worth"] = "tier", calls, skip
+	family["calls_over_us"], family["lingers_us"] = 5_000_000, 200_000
+	return json.Marshal(file)
+}
--- /dev/null
+++ b/internal/server/calls.go
@@ -0,0 +1,107 @@
+package server
+
+import (
+	"go.uber.org/zap"
+
+	"kiteslip/internal/core"
+	"kiteslip/internal/figures"
+	"kiteslip/internal/ledger"
+	"kiteslip/internal/reject"
+)
+
+// ledgerShare is the part of the descriptors that connections to the ledger may
+// take, and ledgerMost how many at most. They are set aside at the start.
+const (
+	ledgerShare = 8
+	ledgerMost  = 64
+)
+
+// below is what the server knows of calls below.
+type below struct {
+	client *ledger.Client // nil = there is no ledger
+	places int            // connections that are set aside for it
+	ends   map[ledger.End]int
+	late   int // results that nobody waited for any more
+}
+
+// calling sets aside what the ledger's connections need, out of room
+// descriptors, and says how many that is.
+func (s *Server) calling(room int) int {
+	s.below.ends = map[ledger.End]int{}
+	if s.cfg.Ledger != "" {
+		s.below.places = max(1, min(room/ledgerShare, ledgerMost))
+	}
+	return s.below.places
+}
+
+// openLedger starts the client where a ledger is set up, or leads it to another address.
+func (s *Server) openLedger() {
+	var err error
+	switch {
+	case s.cfg.Ledger == "":
+		return
+	case s.below.client != nil:
+		err = s.below.client.Move(s.cfg.Ledger)
+	case s.below.places == 0:
+		s.log.Warn("the ledger needs descriptors set aside at the start; until a restart its calls fail")
+		return
+	default:
+		if s.below.client, err = ledger.New(s.cfg.Ledger, s.below.places, s.ledgerSaid); err == nil {
+			s.core.Below(s.below.client)
+		}
+	}
+	if err != nil {
+		s.log.Error("ledger", zap.Error(err)) // the configuration was checked, so this is a fault here
+	}
+}
+
+// ledgerSaid takes in the end of a call, from beside the loop.
+func (s *Server) ledgerSaid(r ledger.Result) {
+	s.onLoop(func() {
+		s.below.ends[r.End]++
+		if r.End != ledger.OK {
+			s.reject(&reject.Caused{Cause: "ledger_" + r.End.String(), Err: r.Detail})
+		}
+		if !s.core.Called(now(), r.Token, r.Outcome, r.Reply) {
+			s.below.late++
+		}
+		s.schedule()
+	})
+}
+
+// ledgerFigures are those of the calls; nil = there is no ledger.
+func (s *Server) ledgerFigures() *figures.Ledger {
+	if s.below.client == nil {
+		return nil
+	}
+	f := &figures.Ledger{Out: s.core.Calling(), Late: s.below.late}
+	for _, end := range ledger.Ends() {
+		f.Ends = append(f.Ends, reject.Total{Cause: end.String(), Count: s.below.ends[end]})
+	}
+	return f
+}
+
+// closeLedger gives up what is still out.
+func (s *Server) closeLedger() {
+	if s.below.client != nil {
+		s.below.client.Close()
+	}
+}
+
+// The core's Engine: what is said to a run goes out on the engine's link. Runs
+// of backends never stand at a call, and can't be stopped.
+
+// Halt stops a run.
+func (s *Server) Halt(r *core.Request) { s.link.Halt(r) }
+
+// Resume goes on with a paused run.
+func (s *Server) Resume(r *core.Request) { s.link.Resume(r) }
+
+// Feed hands a run the reply to its call.
+func (s *Server) Feed(r *core.Request, reply []byte) { s.link.Reply(r, reply) }
+
+// Skip lets a run go on without its call.
+func (s *Server) Skip(r *core.Request, notice uint64) { s.link.Skip(r, notice) }
+
+// Needs takes in that a run stands at a call.
+func (s *Server) Needs(r *core.Request, notice uint64, body []byte) { s.core.Needs(r, notice, body) }
--- a/internal/server/door.go
+++ b/internal/server/door.go
@@ -144,6 +144,8 @@
 		f.Pools = append(f.Pools, figures.Pool{Name: p.Name, Limit: p.Limit, Running: p.Running, Waiting: p.Waiting, Own: p.Own,
 			Borrowed: p.Borrowed, Lent: p.Lent, MayWait: p.MayWait, Saved: p.Saved, Refused: p.Refused, BookedKB: int(p.BookedKB), Cheapest: p.Cheapest})
 	}
+	f.RejectedBy = s.rejects.Totals()
+	f.Ledger = s.ledgerFigures()
 	if w := s.keys.worker; w != nil {
 		k := w.Figures()
 		f.Keys = &figures.Keys{Restored: s.keys.restored, Unknown: s.keys.unknown, Commits: int(k.Commits), Records: int(k.Operations),
--- a/internal/server/engine.go
+++ b/internal/server/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"time"
 
@@ -10,6 +11,7 @@
 
 	"kiteslip"
 	"kiteslip/internal/core"
+	"kiteslip/internal/reject"
 	"kiteslip/internal/wire"
 )
 
@@ -53,6 +55,11 @@
 	s.link.Run(r)
 }
 
+// Stray takes in what the engine said that was turned away or names no run here.
+func (s *Server) Stray(cause, line string) {
+	s.reject(&reject.Caused{Cause: cause, Err: fmt.Errorf("engine: %.120q", line)})
+}
+
 // Hello takes in that the engine is up.
 func (s *Server) Hello(cold bool, up int64) {
 	s.log.Info("engine", zap.Bool("cold", cold), zap.Int64("up_ms", up/1000))
@@ -126,7 +133,7 @@
 	}
 	n, err := e.s.link.Feed(b)
 	if err != nil {
-		e.s.log.Error("engine", zap.Error(err))
+		e.s.reject(&reject.Caused{Cause: "engine_protocol", Err: err})
 	}
 	return n, err
 }
--- a/internal/server/reload.go
+++ b/internal/server/reload.go
@@ -56,6 +56,9 @@
 	if merged.Engine != was.Engine {
 		s.reach() // the link in use is kept until the new one stands
 	}
+	if merged.Ledger != was.Ledger {
+		s.openLedger()
+	}
 	if merged.Registry != was.Registry {
 		s.reregister()
 	}
--- a/internal/server/round.go
+++ b/internal/server/round.go
@@ -97,7 +97,7 @@
 			s.reregister()
 		}
 		if s.beacon != nil {
-			if err := s.beacon.Report(s.core.Draining() || s.core.Withdrawn()); err != nil {
+			if err := s.beacon.Report(s.leavesList()); err != nil {
 				s.log.Debug("registry", zap.Error(err))
 			}
 		}
@@ -108,12 +108,21 @@
 	}
 }
 
+// leavesList says whether reports are to take the server off the callers' list:
+// it leaves, an operator wants it off, or, where the list follows health, the
+// module says that it does no good.
+func (s *Server) leavesList() bool {
+	good, _ := s.health()
+	return s.core.Draining() || s.core.Withdrawn() || s.cfg.ListFollowsHealth && !good
+}
+
 func (s *Server) status() {
 	n := s.core.Counts()
 	requests, keys := s.core.Held()
 	s.log.Info("totals", zap.Int("read", n.Read), zap.Int("served", n.Served), zap.Int("refused", n.Refused),
 		zap.Int("failed", n.Failed), zap.Int("gone", n.Gone), zap.Int("guarded", n.Guarded),
-		zap.Int("in_hand", requests), zap.Int("keys", keys), zap.Int("connections", len(s.sessions)))
+		zap.Int("in_hand", requests), zap.Int("keys", keys), zap.Int("connections", len(s.sessions)),
+		zap.Int("calling", s.core.Calling()), s.rejectedFields())
 }
 
 // gather writes the parts in as few system calls as they fit into, and
--- a/internal/server/seats.go
+++ b/internal/server/seats.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"errors"
 	"slices"
 
 	"github.com/panjf2000/gnet/v2"
@@ -24,8 +23,8 @@
 )
 
 var (
-	errSilent = errors.New("nothing that can be answered has come in time")
-	errPart   = errors.New("the rest of a frame has not come in time")
+	errSilent = caused("silent", "nothing that can be answered has come in time")
+	errPart   = caused("half_frame", "the rest of a frame has not come in time")
 )
 
 // idle is what a connection says of itself when places are short.
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -23,6 +23,7 @@
 	"kiteslip/internal/engine"
 	"kiteslip/internal/frame"
 	"kiteslip/internal/registry"
+	"kiteslip/internal/reject"
 	"kiteslip/internal/uwsgi"
 )
 
@@ -94,6 +95,8 @@
 
 	keys     keys
 	book     *uwsgi.Book
+	below    below
+	rejects  reject.Book
 	backends map[*backendConn]struct{}
 	calls    int    // backends that may be called at once
 	webs     int    // open connections of the uwsgi front
@@ -122,6 +125,7 @@
 		s.doorSlots = make(chan struct{}, doorPlaces)
 	}
 	room = max(8, room)
+	room -= s.calling(room)
 	if uses(cfg.Backends) {
 		s.calls = room / 4
 	}
@@ -137,6 +141,7 @@
 		return nil, err
 	}
 	s.health = s.core.Health
+	s.openLedger()
 	return s, nil
 }
 
@@ -172,6 +177,7 @@
 		return err
 	}
 	defer s.closeKeys()
+	defer s.closeLedger()
 	if err = s.Listen(); err != nil {
 		return err
 	}
--- a/internal/standin/box/box.go
+++ b/internal/standin/box/box.go
@@ -183,3 +183,16 @@
 	b.to(now)
 	b.runs, b.ends = b.runs[:0], nil
 }
+
+// Take takes a run off the cores and returns the work that is left of it;
+// false = no such run is on them.
+func (b *Box) Take(now int64, id uint64) (left float64, ok bool) {
+	b.to(now)
+	for i := range b.runs {
+		if r := b.runs[i]; r.id == id {
+			heap.Remove(&b.runs, i)
+			return r.finish - b.share, true
+		}
+	}
+	return 0, false
+}
--- a/internal/standin/box/uwsgi.go
+++ b/internal/standin/box/uwsgi.go
@@ -50,7 +50,7 @@
 			e.began(string(body))
 		}
 		e.next++
-		e.live[e.next] = running{body: body, done: done}
+		e.live[e.next] = &running{body: body, done: done}
 		e.box.Begin(clock(), e.next, work)
 		e.settle()
 		e.mu.Unlock()
--- a/internal/uwsgi/request.go
+++ b/internal/uwsgi/request.go
@@ -127,9 +127,8 @@
 	}
 	r.Write = contract.Keyed
 	r.SizeKB = contract.HeldKB
-	r.Due = r.Arrived + contract.Deadline
-	if timeout >= 0 {
-		r.Due = min(r.Due, r.Arrived+timeout*1000)
+	if timeout >= 0 { // else it is untold, and the core sets it by the class
+		r.Due = max(1, r.Arrived+min(contract.Deadline, timeout*1000))
 	}
 	return r, length, nil
 }
