--- a/policy.go
+++ b/policy.go
@@ -55,7 +55,7 @@
 	shareLeast   = 0.2     // ... and over this part, however slow calls are: it is slowed by others too
 	shareSafe    = 0.75    // a worker alone never has more than this part of its share in hand, see callRoom
 	callShort    = 0.1     // no call is made with less time than this part of the told span
-	callPatience = 8.0     // a repeatable call is abandoned after this many of its mean
+	callPatience = 5.0     // a repeatable call is abandoned after this many of its mean
 	callGrow     = 0.1     // the limit of calls grows by this and its square, by one at most
 	callTries    = 2       // a call that failed is repeated this often
 	holdAim      = 0.5     // the wait here is too long beyond this share of a mean aim
