Laboratory: calls below, pauses and untold deadlines, with scenarios/tills-friday.toml

So that a site such as the tills can be rehearsed: all boxes share one ledger with so many places, which turns away, loses or refuses calls; runs stand at their call half-way, are stopped and go on; callers tell no deadline. The same core and module decide.

--- a/internal/lab/fleet/callers.go
+++ b/internal/lab/fleet/callers.go
@@ -225,6 +225,10 @@
 
 // plan puts a failure on the agenda.
 func (w *world) plan(f *Failure) {
+	if f.Kind == Down {
+		w.after(epoch+f.At, func() { w.ledger.downTo = epoch + f.At + f.For })
+		return
+	}
 	n := min(len(w.boxes), max(1, int(math.Round(f.Share*float64(len(w.boxes))))))
 	for i := range n {
 		m := w.boxes[(f.First+i)%len(w.boxes)]
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -72,7 +72,7 @@
 )
 
 func (k FailureKind) String() string {
-	return [...]string{"die", "slow", "pause", "deploy"}[min(k, Deploy)]
+	return [...]string{"die", "slow", "pause", "deploy", "ledger_down"}[min(k, Down)]
 }
 
 // Failure is one thing that goes wrong.
@@ -106,7 +106,9 @@
 	Length   int64
 	From     int64 // what came before is not counted
 	Seed     uint64
-	Delay    int64 // one way between callers and boxes
+	Delay    int64  // one way between callers and boxes
+	Below    *Below // nil = nothing lies below
+	Untold   bool   // callers do not say how long they wait
 }
 
 const (
@@ -133,7 +135,8 @@
 	r      *request
 	box    int
 	life   int
-	lively bool // not answered yet
+	lively bool  // not answered yet
+	due    int64 // as the box must see it
 }
 
 // inbox is what is on its way to a box.
@@ -155,6 +158,7 @@
 	speed   float64
 	inbox   []arrival // in order of time
 	live    map[uint64]*core.Request
+	pieces  map[*core.Request]*piece // runs that have not ended
 	tries   map[uint32]*try
 	runs    uint64
 	stream  uint32
@@ -181,6 +185,7 @@
 	away    [][]int64 // by caller and box: until then
 	weights []float64
 	names   uint64
+	ledger  *ledger // nil = there is none
 	score   scorer
 	Outcome
 }
@@ -220,7 +225,7 @@
 
 // newWorld prepares a day. With remotes its boxes are real programs.
 func newWorld(day *Day, remotes []Remote) (*world, error) {
-	w := &world{day: day, now: epoch, pick: rand.New(rand.NewPCG(day.Seed, 99))}
+	w := &world{day: day, now: epoch, pick: rand.New(rand.NewPCG(day.Seed, 99)), ledger: newLedger(day.Below)}
 	w.Outcome.Boxes = day.Boxes
 	w.score.start(day)
 	total := 0.0
@@ -308,6 +313,7 @@
 	m.life++
 	m.dead, m.leaving, m.paused, m.open = false, false, 0, 0
 	m.live, m.tries, m.inbox = map[uint64]*core.Request{}, map[uint32]*try{}, nil
+	m.pieces = map[*core.Request]*piece{}
 	spec := day.Box
 	spec.Speed *= m.speed
 	m.box = box.New(spec, w.now)
@@ -319,6 +325,9 @@
 	if err != nil {
 		return fmt.Errorf("fleet: %w", err)
 	}
+	if w.ledger != nil {
+		m.core.Below(m)
+	}
 	return nil
 }
 
@@ -348,7 +357,7 @@
 	for _, e := range m.box.Advance(now) {
 		r := m.live[e.ID]
 		delete(m.live, e.ID)
-		m.core.Done(r, kiteslip.OK, e.At-e.Began, r.Body)
+		m.pieceOver(r, e.At)
 	}
 	for len(m.inbox) > 0 && m.inbox[0].at <= now {
 		a := m.inbox[0]
@@ -369,8 +378,12 @@
 	m.stream++
 	m.tries[m.stream] = a.t
 	m.w.names++
+	due := r.due
+	if a.t.due = due; m.w.day.Untold {
+		due, a.t.due = 0, a.at+m.w.day.Classes[r.class].Limit
+	}
 	err := m.core.Arrive(m.w.now, &core.Request{Name: strconv.FormatUint(m.w.names, 16), Class: r.class, Tenant: r.team, Caller: r.caller,
-		Key: r.name, Subject: r.subject, Arrived: a.at, Due: r.due, SizeKB: 16, Body: strconv.AppendInt(nil, int64(r.work), 10),
+		Key: r.name, Subject: r.subject, Arrived: a.at, Due: due, SizeKB: 16, Again: m.w.day.Module.MarksRetries && r.tries > 1, Body: strconv.AppendInt(nil, int64(r.work), 10),
 		Stream: m.stream, From: m})
 	if err != nil {
 		m.Answer(m.stream, core.Answer{Code: core.Failed})
@@ -379,7 +392,6 @@
 
 // Run puts a request on the cores.
 func (m *machine) Run(r *core.Request) {
-	m.runs++
 	m.w.Runs++
 	if r.Key != "" && m.w.day.Classes[r.Class].Effect == kiteslip.Keyed {
 		if last, ran := m.ran[r.Key]; ran && r.Arrived <= last+m.w.day.Classes[r.Class].Window {
@@ -387,21 +399,23 @@
 		}
 		m.ran[r.Key] = r.Arrived
 	}
-	m.live[m.runs] = r
-	m.box.Begin(m.w.now, m.runs, box.Work(r.Body))
+	m.begin(r, box.Work(r.Body))
 }
 
 // Answer takes a final answer on its way to the caller.
 func (m *machine) Answer(stream uint32, a core.Answer) {
 	t := m.tries[stream]
 	delete(m.tries, stream)
+	if m.w.ledger != nil {
+		m.requestOver(stream)
+	}
 	if t == nil || !t.lively {
 		return
 	}
 	t.lively = false
 	m.open--
 	w := m.w
-	if w.now > t.r.due+60_000 {
+	if w.now > t.due+60_000 {
 		w.Overdue++
 	}
 	w.after(w.now+w.day.Delay, func() { w.answered(t, a) })
@@ -424,6 +438,7 @@
 		lost = append(lost, a.t)
 	}
 	m.tries, m.inbox, m.live = map[uint32]*try{}, nil, map[uint64]*core.Request{}
+	m.pieces = map[*core.Request]*piece{}
 	if m.remote != nil {
 		m.remote.Die()
 	} else {
--- a/internal/lab/fleet/scenario.go
+++ b/internal/lab/fleet/scenario.go
@@ -32,6 +32,9 @@
 		Backend string  `toml:"backend"` // of live days: engine or uwsgi
 		Falls   float64 `toml:"falls"`   // runs a core, in the mean of 1.5 s, at which a box falls over; 0 = never
 	} `toml:"fleet"`
+	Untold   bool          `toml:"untold"` // callers do not say how long they wait
+	Marks    bool          `toml:"marks_retries"`
+	Ledger   *ledgerFile   `toml:"ledger"`
 	Server   Server        `toml:"server"`
 	Classes  []classFile   `toml:"class"`
 	Teams    []teamFile    `toml:"team"`
@@ -47,6 +50,7 @@
 	MaxRetryMS   float64    `toml:"max_retry_after_ms"`
 	Crowd        float64    `toml:"crowd"` // runs a core that a box survives; 0 = not told
 	CheapReserve float64    `toml:"cheap_reserve"`
+	StopRuns     string     `toml:"stop_runs"` // never, discard or freeze
 	Pools        []poolFile `toml:"pool"`
 }
 
@@ -60,6 +64,15 @@
 	WindowMS  float64    `toml:"window_ms"`
 	Worth     float64    `toml:"worth"`
 	LateWorth float64    `toml:"late_worth"`
+	Calls     bool       `toml:"calls"`
+	SkipWorth float64    `toml:"skip_worth"`
+}
+
+type ledgerFile struct {
+	Places int        `toml:"places"`
+	MS     [2]float64 `toml:"ms"`
+	Turns  float64    `toml:"turns_away"`
+	Loses  float64    `toml:"never_answers"`
 }
 
 type teamFile struct {
@@ -102,7 +115,8 @@
 var (
 	effects  = map[string]kiteslip.Effect{"repeatable": kiteslip.Repeatable, "keyed": kiteslip.Keyed}
 	choices  = map[string]Choice{"": Turn, "turn": Turn, "two": Two, "subject": Subject}
-	failures = map[string]FailureKind{"die": Die, "slow": Slow, "pause": Pause, "deploy": Deploy}
+	failures = map[string]FailureKind{"die": Die, "slow": Slow, "pause": Pause, "deploy": Deploy, "ledger_down": Down}
+	stops    = map[string]kiteslip.Stop{"": kiteslip.StopNever, "never": kiteslip.StopNever, "discard": kiteslip.StopDiscard, "freeze": kiteslip.StopFreeze}
 )
 
 // Load reads a scenario file.
@@ -177,6 +191,7 @@
 		KeyKB: 8, MaxRetryAfter: us(or(s.Server.MaxRetryMS, 1000)), OverShareWorth: 0.05, WorthByWork: true, Tick: 4_000,
 		DrainGrace: 2_000_000, AnswerSlack: 60_000, CrowdMultiple: s.Server.Crowd, CrowdOver: 1_500_000,
 		Goal: kiteslip.Goal{Whole: 0.5, WorstClass: 0.2, WorstTenant: 0.1, WorstWindow: 0.2}}
+	s.below(&day, fail)
 	places := map[string]int{}
 	for i, c := range s.Classes {
 		key := fmt.Sprintf("class[%d]", i)
@@ -192,7 +207,10 @@
 			fail(key+".aim_ms", "is %v, want above 0 and at most the deadline of %v", c.AimMS, c.LimitMS)
 		}
 		class := kiteslip.Class{Effect: effect, Aim: us(c.AimMS), Limit: us(c.LimitMS), Window: us(c.WindowMS),
-			Worth: or(c.Worth, 1), LateWorth: c.LateWorth}
+			Worth: or(c.Worth, 1), LateWorth: c.LateWorth, Calls: c.Calls, SkipWorth: c.SkipWorth}
+		if c.Calls && s.Ledger == nil {
+			fail(key+".calls", "is true, and there is no [ledger]")
+		}
 		day.Classes = append(day.Classes, Class{Class: class, Name: c.Name, Part: c.Part, Least: c.WorkMS[0] * 1000, Most: c.WorkMS[1] * 1000})
 		day.Module.Classes = append(day.Module.Classes, class)
 	}
@@ -213,7 +231,7 @@
 	for i, f := range s.Failures {
 		kind, ok := failures[f.Kind]
 		if !ok {
-			fail(fmt.Sprintf("failure[%d].kind", i), "is %q, want die, slow, pause or deploy", f.Kind)
+			fail(fmt.Sprintf("failure[%d].kind", i), "is %q, want die, slow, pause, deploy or ledger_down", f.Kind)
 		}
 		day.Failures = append(day.Failures, Failure{Kind: kind, At: sec(f.At), For: sec(f.For), Share: f.Share, First: f.First,
 			Factor: or(f.Factor, 1), Warm: sec(f.Warm)})
@@ -241,3 +259,27 @@
 		day.Pools.Pools = append(day.Pools.Pools, spec)
 	}
 }
+
+// below enters what the boxes call, and how their runs are stopped.
+func (s *Scenario) below(day *Day, fail func(key, format string, args ...any)) {
+	stop, known := stops[s.Server.StopRuns]
+	if !known {
+		fail("server.stop_runs", "is %q, want never, discard or freeze", s.Server.StopRuns)
+	}
+	day.Untold, day.Module.MarksRetries, day.Module.Stop = s.Untold, s.Marks, stop
+	l := s.Ledger
+	if l == nil {
+		return
+	}
+	if l.Places < 1 || l.Places > 1<<20 {
+		fail("ledger.places", "is %d, want 1 at least", l.Places)
+	}
+	if !(l.MS[0] > 0) || l.MS[1] < l.MS[0] {
+		fail("ledger.ms", "is %v, want the least and the most, above 0", l.MS)
+	}
+	if l.Turns < 0 || l.Turns+l.Loses > 1 || l.Loses < 0 {
+		fail("ledger.turns_away", "is %v and never_answers %v, want shares", l.Turns, l.Loses)
+	}
+	day.Below = &Below{Places: max(1, l.Places), Least: us(l.MS[0]), Most: us(l.MS[1]), Turns: l.Turns, Loses: l.Loses}
+	day.Module.Below, day.Module.CallsOver, day.Module.Lingers = kiteslip.BelowTier, 5*Second, 200_000
+}
--- a/internal/lab/fleet/score.go
+++ b/internal/lab/fleet/score.go
@@ -31,6 +31,7 @@
 // Outcome is what became of a day.
 type Outcome struct {
 	Boxes, Asked, Tries, Runs, Deaths int
+	Calls, Skips                      int // calls below that were made; runs that went on without theirs
 	Fallen                            int // boxes that fell over
 	Overdue, Twice                    int // rules broken: answers after their due time, second runs of a key on one box
 	Parts
@@ -222,9 +223,10 @@
 	}
 	for i := range d.Failures {
 		f := &d.Failures[i]
-		want(f.Kind <= Deploy, "failure.kind", f.Kind, "a known one")
+		want(f.Kind <= Down, "failure.kind", f.Kind, "a known one")
 		want(f.At >= 0 && f.For > 0 && f.At+f.For <= mostLength, "failure.at", f.At, "0 or more, and a length")
-		want(f.Share > 0 && f.Share <= 1, "failure.share", f.Share, "above 0 and at most 1")
+		want(f.Kind != Down || d.Below != nil, "failure.kind", f.Kind, "a ledger that can be down")
+		want(f.Kind == Down || f.Share > 0 && f.Share <= 1, "failure.share", f.Share, "above 0 and at most 1")
 		want(f.First >= 0 && f.First < max(1, d.Boxes), "failure.first", f.First, "a box")
 		want(f.Kind == Pause || f.Factor > 0 && f.Factor <= 1, "failure.factor", f.Factor, "above 0 and at most 1")
 		want(f.Warm >= 0, "failure.warm", f.Warm, "0 or more")
--- a/internal/lab/live/live.go
+++ b/internal/lab/live/live.go
@@ -62,6 +62,9 @@
 
 // Launch starts the boxes of a day; speeds lie as Play has them.
 func Launch(path string, day *fleet.Day) (*Fleet, error) {
+	if day.Below != nil {
+		return nil, errors.New("live: calls below are played in simulated time alone")
+	}
 	dir, err := os.MkdirTemp("", "kitelab")
 	if err != nil {
 		return nil, err
