--- a/internal/server/trace.go
+++ b/internal/server/trace.go
@@ -30,13 +30,16 @@
 	if r == nil || !s.log.Core().Enabled(zapcore.DebugLevel) {
 		return
 	}
-	fields := make([]zap.Field, 0, 10)
+	fields := make([]zap.Field, 0, 14)
 	fields = append(fields, zap.String("front", front), zap.String("req", r.Name), zap.String("class", s.className(r.Class)),
 		zap.String("code", word(codeWords[:], a.Code)), zap.Int64("arrived", r.Arrived/1000), zap.Int64("due", r.Due/1000),
-		zap.Int64("at", now()/1000))
+		zap.Int64("at", now()/1000), zap.Int("via", r.Caller), zap.Int("team", r.Tenant))
 	if r.Key != "" {
 		fields = append(fields, zap.String("opkey", r.Key))
 	}
+	if r.Again {
+		fields = append(fields, zap.Bool("resent", true))
+	}
 	switch a.Code {
 	case core.Refused:
 		fields = append(fields, zap.Int64("hold_off_ms", a.HoldOff/1000), zap.Bool("no_more", a.NoMore))
