--- a/policy.go
+++ b/policy.go
@@ -33,7 +33,7 @@
 	learn        = 0.05    // weight of one finish in a learned mean: about twenty finishes count
 	firstWeight  = 3.0     // the first guess counts as this many finishes: one short run is no base
 	heavyRun     = 6.0     // a run beyond this many bases is a heavy one
-	againAim     = 0.3     // a marked further try has this part of its aim left
+	againAim     = 0.7     // a marked further try has this part of its aim left
 	patienceBins = 64      // the told time left is counted in this many parts of a limit
 	usualShare   = 0.08    // a part with this share of the arrivals is a usual patience of callers
 	toldMost     = 400     // after this many, half of what was seen is forgotten
