Split the module into files by what they decide, all named under policy

policy.go was one type of 796 lines. Declarations were moved whole: sorted without import lists, the lines of policy.go and state.go before are those of the ten files after. The scripts under cmd/simhost/testdata pass on both hosts as before; the size test now reads the deploy file and fails if a policy file is not named there.

--- /dev/null
+++ b/policy_limit.go
@@ -0,0 +1,101 @@
+// The running limit: its growth and cut, what a finished run teaches, and the crowd that is safe.
+
+package kiteslip
+
+import "math"
+
+// done takes in the end of a run or reuse, and moves the limit.
+func (w *Worker) done(r *request, e *Event) {
+	if e.Outcome == Moot {
+		r.phase = over
+		return
+	}
+	wasCopy := r.phase == copying
+	w.callEnds(r, TimedOut)
+	full := w.onCore >= w.limit
+	w.offCore(r)
+	if e.Outcome == Cancelled && !r.answered {
+		if r.phase = held; w.set.Stop == StopFreeze {
+			r.phase = paused
+		}
+		return
+	}
+	r.phase = over
+	w.progress = w.now
+	if !wasCopy && !r.answered {
+		w.failing *= 1 - 2*learn
+		if e.Outcome == Failed {
+			w.failing += 2 * learn
+		}
+	}
+	if stopped := e.Outcome == Cancelled && r.work > w.base[r.class]; stopped && !wasCopy {
+		w.learn(r) // it would have taken longer still: without these, only what is short is learned
+	}
+	if e.Outcome != OK {
+		return
+	}
+	c := &w.set.Classes[r.class]
+	if !r.answered && w.now <= r.aim {
+		w.classes[r.class].served += c.Worth
+		w.tenants[r.tenant].served += c.Worth
+	}
+	if wasCopy {
+		return
+	}
+	late := float64(r.wall) > lateMultiple*w.base[r.class]
+	w.learn(r)
+	w.spanDone++
+	if late {
+		w.spanLate++
+	} else if full && w.now <= r.due && !(w.gauges.Set && w.gauges.Runnable >= float32(w.set.Cores)) {
+		// Only with a core to spare: more runs would only share out cores that reading needs too.
+		w.limit = min(w.limit+1, int(w.crowd()))
+	}
+	w.overdue = w.overdue || w.now > r.due
+	// A tenth of fewer than ten is no share: on a few cores one long run in a base latency cut the limit.
+	if w.now >= w.spanEnd && (w.overdue || float64(w.spanDone)*lateShare >= 1) {
+		if w.overdue || float64(w.spanLate) > lateShare*float64(w.spanDone) {
+			w.limit = int(float64(w.limit) * limitCut)
+		}
+		w.limit = max(w.limit, w.set.Cores)
+		w.spanEnd = w.now + int64(w.meanBase)
+		w.spanDone, w.spanLate, w.overdue = 0, 0, false
+	}
+}
+
+// learn takes the work of r into the base of its class. One run of many times the usual work moves it no
+// further than one of heavyRun bases.
+func (w *Worker) learn(r *request) {
+	w.baseN[r.class]++
+	weight := max(learn, 1/(w.baseN[r.class]+firstWeight))
+	w.base[r.class] += (min(r.work, heavyRun*w.base[r.class]) - w.base[r.class]) * weight
+	w.wait[r.class] += (float64(r.waits) - w.wait[r.class]) * weight
+}
+
+// mix takes the means over the classes, weighed by what is asked for.
+func (w *Worker) mix() {
+	n := 0.0
+	w.meanBase, w.meanAim, w.leastAim = 0, 0, math.Inf(1)
+	for i, c := range w.set.Classes {
+		k := w.classes[i].asked/max(c.Worth, 1e-9) + 1e-6
+		w.meanBase += k * w.base[i]
+		w.meanAim += k * float64(c.Aim)
+		n += k
+		if k > 1e-3 || i == 0 {
+			w.leastAim = min(w.leastAim, float64(c.Aim))
+		}
+	}
+	w.meanBase, w.meanAim, w.leastAim = max(w.meanBase/n, 1), max(w.meanAim/n, 1), max(w.leastAim, 1)
+}
+
+// crowd is how many begun requests are safe, with the slowest warming that the settings allow.
+func (w *Worker) crowd() float64 {
+	if w.set.CrowdMultiple <= 0 {
+		return math.MaxInt32
+	}
+	speed := 1.0
+	if w.set.JustStarted && w.set.WarmWithin > 0 {
+		speed = min(1, w.set.ColdFrom+(1-w.set.ColdFrom)*float64(w.now-w.born)/float64(w.set.WarmWithin))
+	}
+	return max(1, crowdRoom*float64(w.set.Cores)*(1+(w.set.CrowdMultiple-1)*speed))
+}
--- /dev/null
+++ b/policy_order.go
@@ -0,0 +1,142 @@
+// The order of the hold, and what is turned away because it can't be answered in time.
+
+package kiteslip
+
+import (
+	"cmp"
+	"slices"
+)
+
+// gain is what serving r on time adds to the goal for its core time: its worth, less where its tenant is
+// beyond its share, more where its class or tenant is the one served worst.
+func (w *Worker) gain(r *request) float64 {
+	g, in := w.set.Goal, w.inShare(r.tenant)
+	worth := w.set.Classes[r.class].Worth * (in + (1-in)*w.set.OverShareWorth)
+	if !w.set.WorthByWork {
+		worth /= max(w.base[r.class], 1) // else what a longer one costs more, it also earns more
+	}
+	return worth * (g.Whole + g.WorstClass*lag(w.classes, r.class) + g.WorstTenant*lag(w.tenants, r.tenant))
+}
+
+// inShare is the part of a tenant's arrivals here that lies within its share. A tenant lags by what it is
+// served of that part: counted by all it asks, a flood would pass for the worst served.
+func (w *Worker) inShare(tenant int) float64 {
+	if w.set.Stage > 0 || tenant >= len(w.set.Tenants) {
+		return 1
+	}
+	rate := w.tenants[tenant].arrived / (rateOver / 1e6)
+	return min(1, w.set.Tenants[tenant].Quota/float64(w.set.Workers)/max(rate, 1e-9))
+}
+
+// lag is the weight of one group's share in the goal, by how far it falls behind all.
+func lag(groups []group, i int) float64 {
+	asked, served := 1e-9, 0.0
+	for _, g := range groups {
+		asked += g.asked
+		served += g.served
+	}
+	g := groups[i]
+	if g.asked < 1 {
+		return 1
+	}
+	behind := (served/asked - g.served/g.asked) / lagFull
+	return max(0, min(1, behind)) * asked / g.asked
+}
+
+// better orders two requests: the denser first, then the earlier aim; while the wait is too long the newest:
+// in turn all would be just in time here, too late for those with earlier tries. A pool that can start all it
+// holds in places of its own has no such wait.
+func (w *Worker) better(a, b int) int {
+	x, y := &w.reqs[a], &w.reqs[b]
+	if dense := cmp.Compare(y.density, x.density); dense != 0 || w.pressure <= 1 ||
+		w.ceil != nil && w.uses[w.ceil.Of[x.class]].light {
+		return cmp.Or(dense, cmp.Compare(x.aim, y.aim), cmp.Compare(x.id, y.id))
+	}
+	return cmp.Or(cmp.Compare(y.aim, x.aim), cmp.Compare(x.id, y.id))
+}
+
+// shed orders the hold, refuses what cannot be answered in time, and keeps the memory under its top.
+func (w *Worker) shed(acts []Action) []Action {
+	w.order = w.order[:0]
+	ahead := 0.0
+	w.must, w.wanting, w.heavy = 0, 0, 0
+	for i := range w.reqs {
+		r := &w.reqs[i]
+		switch r.phase {
+		case held, paused:
+			if r.head != 0 || r.answered {
+				continue
+			}
+			if c := &w.set.Classes[r.class]; c.Calls && c.SkipWorth == 0 {
+				w.wanting++
+			}
+			r.density = w.gain(r)
+			if r.late {
+				r.density *= w.set.Classes[r.class].LateWorth
+			}
+			w.order = append(w.order, i)
+		case running, atCall, calling:
+			b := w.base[r.class]
+			if r.phase == atCall && !r.answered && w.set.Classes[r.class].SkipWorth == 0 {
+				w.must++
+			}
+			done := r.work
+			if r.phase == running {
+				done += w.share - r.mark
+			}
+			if done > heavyRun*b {
+				w.heavy++
+			}
+			ahead += max(b-done, b*restShare)
+			if u, _ := w.pool(r.class); u != nil {
+				u.ahead += max(b-done, b*restShare)
+			}
+		}
+	}
+	slices.SortFunc(w.order, w.better)
+	cores := float64(w.set.Cores)
+	tail := 0.0
+	kept := w.order[:0]
+	for _, i := range w.order {
+		r := &w.reqs[i]
+		b := w.base[r.class]
+		begin, hope := 0.0, r.aim
+		if w.onCore >= w.limit || len(kept) > 0 {
+			hope = r.hope
+			begin = max(0, ahead/cores-w.meanBase/2)
+		}
+		u, ceil := w.pool(r.class)
+		if ceil != nil && ceil.Cores > 0 { // what is a pool's own does not wait behind others
+			begin = min(begin, u.ahead/ceil.Cores)
+		}
+		c := &w.set.Classes[r.class]
+		finish := w.now + int64(begin+b*runAllowance+w.wait[r.class])
+		aim := min(hope, w.end(r))
+		if finish > aim && r.phase == held {
+			if c.LateWorth > 0 && finish <= w.end(r) && w.now < r.aim {
+				r.late = true
+			} else if w.baseN[r.class] > 0 && w.inHand > 0 {
+				// Guards against tries that walk on: each is read again, at a cost, until readings alone fill the fleet.
+				// What had its chance here stays refused; it hurts where others idle.
+				acts = w.refuse(r, w.away(finish-aim, c), true, acts)
+				continue
+			}
+		}
+		tail = max(tail, begin)
+		ahead += b
+		if u != nil {
+			u.ahead += b
+		}
+		kept = append(kept, i)
+	}
+	w.pressure = max((tail+w.unread)/(holdAim*w.meanAim), w.unread/(unreadAim*w.leastAim))
+	w.order, w.tail = kept, int64(tail)
+	// Memory: over the top the least valuable held requests go first.
+	for n := len(w.order) - 1; n >= 0 && w.memory > w.top(); n-- {
+		r := &w.reqs[w.order[n]]
+		if r.phase == held {
+			acts = w.refuse(r, w.set.MaxRetryAfter, false, acts)
+		}
+	}
+	return acts
+}
--- a/policy_test.go
+++ b/policy_test.go
@@ -4,10 +4,13 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"path/filepath"
 	"reflect"
 	"slices"
 	"strings"
 	"testing"
+
+	"github.com/BurntSushi/toml"
 )
 
 func settings() Settings {
@@ -451,21 +454,31 @@
 }
 
 func TestModuleSize(t *testing.T) {
-	text, err := os.ReadFile("policy.go")
-	if err != nil {
+	var deploy struct{ Policy []string }
+	if _, err := toml.DecodeFile("deploy/balancer.toml", &deploy); err != nil {
 		t.Fatal(err)
 	}
-	n := 0
-	for line := range strings.Lines(string(text)) {
-		if strings.TrimSpace(line) != "" {
-			n++
+	named, n := map[string]bool{}, 0
+	for _, file := range deploy.Policy {
+		named[file] = true
+		text, err := os.ReadFile(file)
+		if err != nil {
+			t.Fatal(err)
 		}
-		if len([]rune(strings.TrimRight(line, "\n"))) > 110 {
-			t.Errorf("line over 110 characters: %s", line)
+		for line := range strings.Lines(string(text)) {
+			if strings.TrimSpace(line) != "" {
+				n++
+			}
+			if len([]rune(strings.TrimRight(line, "\n"))) > 110 {
+				t.Errorf("%s has a line over 110 characters: %s", file, line)
+			}
 		}
 	}
 	if n > 1010 {
-		t.Errorf("policy.go has %d lines, 1010 at most", n)
+		t.Errorf("the files named under policy have %d lines, 1010 at most", n)
+	}
+	if files, _ := filepath.Glob("policy*.go"); len(files) != len(named)+1 { // this one is none of them
+		t.Errorf("%v, of which the deploy file names %v", files, deploy.Policy)
 	}
 }
 
--- a/state.go
+++ b/state.go
@@ -82,26 +82,6 @@
 	return &w.uses[at], &w.ceil.Pools[at]
 }
 
-// owed is how many held requests may start in places of their pools' own, or beyond the limit.
-func (w *Worker) owed(limit int) int {
-	n := 0
-	for i := range w.uses {
-		u, c := &w.uses[i], &w.ceil.Pools[i]
-		n += max(0, min(u.held, c.Own-u.running))
-	}
-	n = min(n, max(0, limit-w.onCore))
-	for i := range w.uses {
-		u, c := &w.uses[i], &w.ceil.Pools[i]
-		n += max(0, min(u.held, c.Spare-u.running))
-	}
-	if w.ceil.Cheap >= 0 {
-		u, c := w.pool(w.ceil.Cheap)
-		room := min(limit+w.ceil.CheapSpare-w.onCore, c.Own-u.running)
-		n += max(0, min(u.held, max(room, w.ceil.CheapSpare-w.cheapRuns)))
-	}
-	return n
-}
-
 // Retune takes over new settings. Classes and tenants keep their places, new
 // ones follow; what was learned stays. On an error nothing has changed.
 func (w *Worker) Retune(s Settings) error {
