--- a/internal/server/fronts_test.go
+++ b/internal/server/fronts_test.go
@@ -427,13 +427,12 @@
 	var mu sync.Mutex
 	seen := map[string]int{}
 	c := standin.Dial(t, r.frames)
-	sent := 0
+	sent, away := 0, false
 	signals := r.signals
 	for i := range 150 {
 		if i == 50 {
 			signals <- syscall.SIGTERM
 		}
-		away := false
 		for len(c.Replies) > 0 {
 			reply := <-c.Replies
 			if away = reply.Type == frame.GoAway || away; reply.Type == frame.Answer {
