--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -157,7 +157,10 @@
 	if !p.up {
 		p.attach()
 	}
-	for len(p.unread) > 0 || len(p.pending) > 0 || len(p.live) > len(p.paused) || len(p.asked) > 0 {
+	for n := 0; len(p.unread) > 0 || len(p.pending) > 0 || len(p.live) > len(p.paused) || len(p.asked) > 0; n++ {
+		if n > 10_000 {
+			p.t.Fatalf("it does not settle: runs %v, at calls %v", p.live, p.stands)
+		}
 		for len(p.unread) > 0 {
 			p.read()
 		}
