--- a/internal/reject/reject.go
+++ b/internal/reject/reject.go
@@ -72,5 +72,10 @@
 	Err   error
 }
 
-func (c *Caused) Error() string { return c.Err.Error() }
+func (c *Caused) Error() string {
+	if c.Err == nil {
+		return c.Cause
+	}
+	return c.Err.Error()
+}
 func (c *Caused) Unwrap() error { return c.Err }
