Read the content of DONE and NEED by one function in the engine's link

Both cases parsed a length, checked its bounds, waited for the bytes and looked for the CR LF in nearly the same lines; content now does all four from the word that states the length. Same bounds, same errors, same waiting for more bytes: the tests of bad notices, the link's model and the server's tests over loopback pass unchanged. A variable without use left a core test.

--- a/internal/core/calls_test.go
+++ b/internal/core/calls_test.go
@@ -173,8 +173,7 @@
 				if class == 1 {
 					key = fmt.Sprint("k", rapid.IntRange(0, 3).Draw(t, "key"))
 				}
-				r := b.arrive(class, key, 0, rapid.Int64Range(50_000, 1_500_000).Draw(t, "patience"))
-				_ = r
+				b.arrive(class, key, 0, rapid.Int64Range(50_000, 1_500_000).Draw(t, "patience"))
 			},
 			"need": func(t *rapid.T) {
 				if len(b.running) > 0 {
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -216,19 +216,15 @@
 		}
 		number, err1 := strconv.ParseUint(string(words[1]), 10, 64)
 		ms, err2 := strconv.ParseFloat(string(words[4]), 64)
-		size, err3 := strconv.Atoi(string(words[5]))
 		outcome, known := outcomes[string(words[3])]
-		if err1 != nil || err2 != nil || err3 != nil || !known || size < 0 || size > maxResult {
+		result, took, ok := content(b[used:], words[5])
+		if err1 != nil || err2 != nil || !known || !ok {
 			return bad()
 		}
-		result, whole, ok := content(b[used:], size)
-		if !ok {
-			return bad()
-		}
-		if !whole {
+		if took == 0 {
 			return 0, nil
 		}
-		used += size + len(crlf)
+		used += took
 		if !l.advance(number) {
 			break
 		}
@@ -243,18 +239,14 @@
 			return bad()
 		}
 		number, err1 := strconv.ParseUint(string(words[1]), 10, 64)
-		size, err2 := strconv.Atoi(string(words[3]))
-		if err1 != nil || err2 != nil || size < 0 || size > maxResult {
-			return bad()
-		}
-		body, whole, ok := content(b[used:], size)
-		if !ok {
+		body, took, ok := content(b[used:], words[3])
+		if err1 != nil || !ok {
 			return bad()
 		}
-		if !whole {
+		if took == 0 {
 			return 0, nil
 		}
-		used += size + len(crlf)
+		used += took
 		if !l.advance(number) {
 			break
 		}
@@ -300,16 +292,19 @@
 	"complete": kiteslip.OK, "error": kiteslip.Failed, "cancelled": kiteslip.Cancelled, "unknown": kiteslip.Moot,
 }
 
-// content takes the bytes that follow a line, and the CR LF after them. whole
-// says that all are there, ok that they are as they must be.
-func content(b []byte, size int) (content []byte, whole, ok bool) {
-	if len(b) < size+len(crlf) {
-		return nil, false, true
+// content reads the length that a line ends with, and takes as many bytes and
+// the CR LF after them, took in all; 0 means that more are needed. ok says that
+// the length can be believed and that all is as it must be.
+func content(b, length []byte) (content []byte, took int, ok bool) {
+	size, err := strconv.Atoi(string(length))
+	if err != nil || size < 0 || size > maxResult {
+		return nil, 0, false
 	}
-	if !bytes.Equal(b[size:size+len(crlf)], crlf) {
-		return nil, false, false
+	took = size + len(crlf)
+	if len(b) < took {
+		return nil, 0, true
 	}
-	return append([]byte(nil), b[:size]...), true, true
+	return append([]byte(nil), b[:size]...), took, bytes.Equal(b[size:took], crlf)
 }
 
 // advance notes the number of a notice; false means that it was read before.
