--- a/cmd/kiteslip/main.go
+++ b/cmd/kiteslip/main.go
@@ -129,6 +129,11 @@
 			effects[class.Effect], class.Aim/1000, class.Limit/1000, class.Window/1000, class.Worth,
 			cfg.UWSGI.Contracts[i].MaxBody, or(cfg.Backends[i], "the engine"))
 	}
+	if cfg.Ledger != "" {
+		fmt.Fprintf(w, "ledger %s, up to %d connections\n", cfg.Ledger, server.LedgerPlaces(cfg))
+	} else if cfg.Calling() {
+		fmt.Fprintln(w, "no ledger: classes call below, and each call fails")
+	}
 	describePools(w, cfg)
 	if k := &cfg.Keys; k.Folder != "" {
 		durability, onError := "power", "keyed requests are refused"
--- /dev/null
+++ b/internal/config/calls.go
@@ -0,0 +1,60 @@
+package config
+
+import (
+	"slices"
+
+	"kiteslip"
+	"kiteslip/internal/ledger"
+)
+
+// Calls below in the operator's file: machine.ledger and machine.stop_runs, and
+// in a contract calls and skip_worth. All are off by default.
+
+var stops = map[string]kiteslip.Stop{"": kiteslip.StopNever, "never": kiteslip.StopNever,
+	"discard": kiteslip.StopDiscard, "freeze": kiteslip.StopFreeze}
+
+// The bounds of calls where no platform states them.
+const (
+	callsOver = 5_000_000 // calls in hand are averaged over this
+	lingers   = 200_000   // a call given up is this long in the ledger's hands at most
+)
+
+// calls enters what the machine has below it.
+func (m *Machine) calls(c *Config, errs *problems) {
+	stop, known := stops[m.StopRuns]
+	if !known {
+		errs.add("machine.stop_runs", "is %q, want never, discard or freeze", m.StopRuns)
+	}
+	c.Module.Stop = stop
+	if c.Ledger = m.Ledger; m.Ledger == "" {
+		return
+	}
+	if err := ledger.Check(m.Ledger); err != nil {
+		errs.add("machine.ledger", "%v", err)
+	}
+	c.Module.Below, c.Module.CallsOver, c.Module.Lingers = kiteslip.BelowTier, callsOver, lingers
+}
+
+// calls enters what one contract says of calls.
+func (t *Contract) calls(c *Config, m *kiteslip.Class, key string, errs *problems) {
+	if t.Calls != nil {
+		m.Calls = *t.Calls
+	}
+	if m.Calls && c.Ledger == "" {
+		errs.add(key+".calls", "is true, and there is no ledger")
+	}
+	if t.SkipWorth == nil {
+		return
+	}
+	if !(*t.SkipWorth >= 0) || *t.SkipWorth > 1 {
+		errs.add(key+".skip_worth", "is %v, want 0 to 1", *t.SkipWorth)
+	} else if *t.SkipWorth > 0 && !m.Calls {
+		errs.add(key+".skip_worth", "is %v, and the class makes no calls", *t.SkipWorth)
+	}
+	m.SkipWorth = *t.SkipWorth
+}
+
+// Calling says whether any class calls below.
+func (c *Config) Calling() bool {
+	return slices.ContainsFunc(c.Module.Classes, func(class kiteslip.Class) bool { return class.Calls })
+}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
@@ -141,3 +142,30 @@
 		}
 	}
 }
+
+// The ledger's address is no name, in either file, and what a contract says of
+// calls is checked with it.
+func TestCallsBelow(t *testing.T) {
+	const service = "[uwsgi]\nlisten = \"127.0.0.1:1\"\n[machine]\nengine = \"127.0.0.1:2\"\n%s\n[[team]]\nname = \"red\"\nrequests_per_s = 1\n" +
+		"[[service]]\nname = \"s\"\nowner = \"red\"\n[[service.contract]]\nclass = \"c\"\neffect = \"repeatable\"\ndeadline_ms = 1000\n%s\n"
+	for _, c := range []struct{ machine, contract, want string }{
+		{"ledger = \"ledger:7700\"", "", "machine.ledger is \"ledger:7700\""},
+		{"stop_runs = \"pause\"", "", "machine.stop_runs is \"pause\""},
+		{"", "calls = true", "calls is true, and there is no ledger"},
+		{"ledger = \"127.0.0.1:3\"", "calls = true\nskip_worth = 1.5", "skip_worth is 1.5"},
+		{"ledger = \"127.0.0.1:3\"", "skip_worth = 0.5", "the class makes no calls"},
+		{"ledger = \"127.0.0.1:3\"\nstop_runs = \"freeze\"", "calls = true\nskip_worth = 0.5", ""},
+	} {
+		got, err := ParseOperator(fmt.Sprintf(service, c.machine, c.contract), nil)
+		if c.want != "" && (err == nil || !strings.Contains(err.Error(), c.want)) {
+			t.Errorf("%s, %s: %v, want %q", c.machine, c.contract, err, c.want)
+		}
+		if c.want == "" && (err != nil || !got.Module.Classes[0].Calls || got.Module.Classes[0].SkipWorth != 0.5 || got.Module.Stop != kiteslip.StopFreeze) {
+			t.Errorf("%+v, %v", got, err)
+		}
+	}
+	const named = `{"name": "t", "listen": "127.0.0.1:1", "engine": "127.0.0.1:2", "ledger": "ledger:1", "settings": {}}`
+	if _, err := Parse([]byte(named), unset); err == nil || !strings.Contains(err.Error(), `ledger is "ledger:1"`) {
+		t.Errorf("a name is taken as the ledger's address: %v", err)
+	}
+}
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -37,7 +37,9 @@
 	Listen    string  `toml:"listen"` // of the platform's protocol; "" = no such front
 	Ops       string  `toml:"ops"`    // the operators' door; "" = none
 	Engine    string  `toml:"engine"` // "" = all services have backends
-	Cores     int     `toml:"cores"`  // that do the work
+	Ledger    string  `toml:"ledger"` // where calls below go; "" = nowhere
+	StopRuns  string  `toml:"stop_runs"`
+	Cores     int     `toml:"cores"` // that do the work
 	WorkMB    float64 `toml:"work_mb"`
 	RunFactor float64 `toml:"run_factor"`
 	KeyKB     float64 `toml:"key_kb"`
@@ -78,6 +80,8 @@
 	MaxBody    int      `toml:"max_body"`
 	MaxResult  int      `toml:"max_result"`
 	HeldKB     float64  `toml:"held_kb"`
+	Calls      *bool    `toml:"calls"`
+	SkipWorth  *float64 `toml:"skip_worth"`
 }
 
 // The defaults and bounds of the operator's file.
@@ -201,6 +205,7 @@
 		Goal:           kiteslip.Goal{Whole: 0.5, WorstClass: 0.2, WorstTenant: 0.1, WorstWindow: 0.2},
 		Tick:           4_000, DrainGrace: 2_000_000, AnswerSlack: 60_000, WorthByWork: true,
 	}
+	m.calls(c, errs)
 	if w := c.Module.OverShareWorth; w < 0 || w > 1 {
 		errs.add("machine.over_share_worth", "is %v, want 0 to 1", w)
 	}
@@ -328,6 +333,7 @@
 	figure("window_ms", t.WindowMS, hourMS, 1000, func(v float64) { m.Window = int64(v) })
 	figure("worth", t.Worth, 1e6, 1, func(v float64) { m.Worth = v })
 	figure("late_worth", t.LateWorth, 1, 1, func(v float64) { m.LateWorth = v })
+	t.calls(c, m, key, errs)
 	if m.Limit == 0 {
 		errs.add(key+".deadline_ms", "is absent")
 	}
--- a/internal/server/calls.go
+++ b/internal/server/calls.go
@@ -3,6 +3,7 @@
 import (
 	"go.uber.org/zap"
 
+	"kiteslip/internal/config"
 	"kiteslip/internal/core"
 	"kiteslip/internal/figures"
 	"kiteslip/internal/ledger"
@@ -24,16 +25,22 @@
 	late   int // results that nobody waited for any more
 }
 
-// calling sets aside what the ledger's connections need, out of room
-// descriptors, and says how many that is.
-func (s *Server) calling(room int) int {
+// calling sets aside the descriptors of the ledger's connections, and says how
+// many that is.
+func (s *Server) calling() int {
 	s.below.ends = map[ledger.End]int{}
-	if s.cfg.Ledger != "" {
-		s.below.places = max(1, min(room/ledgerShare, ledgerMost))
-	}
+	s.below.places = LedgerPlaces(s.cfg)
 	return s.below.places
 }
 
+// LedgerPlaces is how many connections to the ledger a server may hold.
+func LedgerPlaces(cfg *config.Config) int {
+	if cfg.Ledger == "" {
+		return 0
+	}
+	return max(1, min(cfg.Limits.Sockets/ledgerShare, ledgerMost))
+}
+
 // openLedger starts the client where a ledger is set up, or leads it to another address.
 func (s *Server) openLedger() {
 	var err error
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -124,8 +124,7 @@
 		room -= doorPlaces
 		s.doorSlots = make(chan struct{}, doorPlaces)
 	}
-	room = max(8, room)
-	room -= s.calling(room)
+	room = max(8, room-s.calling())
 	if uses(cfg.Backends) {
 		s.calls = room / 4
 	}
