A window that shrinks, a run longer than its window, a grace that grows: no second run

It takes the result of the run, if its body is the same. - A window that shrinks by SIGHUP while a try is held was counted from the new figure when that try ran (core.run). Each request keeps the window by which it came; the longer of both counts. - The window of a try whose stamp lies ahead of the clock was counted from the clock: up to 5 s too short (Arrive cuts the stamp). It is counted from the stamp. - A longer drain grace in a file read after SIGTERM let run what the grace of the notice forbids (Retune). The shorter of both counts. - Conclude answers all that is owed at the end, for the server.

--- a/internal/core/answers.go
+++ b/internal/core/answers.go
@@ -97,6 +97,24 @@
 		}
 		late = append(late, r)
 	}
+	c.endAll(late)
+}
+
+// Conclude answers all that is still owed, since the process ends now, and says
+// how many that were.
+func (c *Core) Conclude() int {
+	var owed []*Request
+	for _, r := range c.open {
+		if !r.answered {
+			owed = append(owed, r)
+		}
+	}
+	c.endAll(owed)
+	return len(owed)
+}
+
+// endAll answers requests that the module has left without an answer.
+func (c *Core) endAll(late []*Request) {
 	slices.SortFunc(late, func(a, b *Request) int { return cmp.Compare(a.id, b.id) }) // the same order each time
 	for _, r := range late {
 		if r.answered {
--- a/internal/core/arrivals.go
+++ b/internal/core/arrivals.go
@@ -52,7 +52,9 @@
 		c.turnAway(r, Answer{Code: Refused})
 		return nil
 	}
-	// Guards the window of a key: counted from a stamp ahead of the clock, it would end late or begin anew.
+	// Guards the window of a key where a stamp lies ahead of the clock: whether this one falls in another's is
+	// judged by the clock, and its own is counted from the stamp.
+	r.stamp, r.window = r.Arrived, class.Window
 	r.Arrived = min(r.Arrived, now)
 	c.nextID++
 	r.id = c.nextID
@@ -118,6 +120,17 @@
 	return e.kept != nil && e.kept.phase == held && !e.kept.answered && e.kept.sum != r.sum
 }
 
+// runsFor says whether a run of the same request goes on. Guards what is keyed
+// against two runs at once, where a window is shorter than a run.
+func (e *entry) runsFor(r *Request) bool {
+	return e.ran != nil && e.ran != r && (e.ran.phase == running || e.ran.phase == paused || e.ran.ending) && e.ran.sum == r.sum
+}
+
+// windowEnd is until when no other try of the key of r may run, if r does.
+func (c *Core) windowEnd(r *Request) int64 {
+	return max(r.Arrived, r.stamp) + max(r.window, c.set.Module.Classes[r.Class].Window) + keyMargin
+}
+
 // prior finds the request that r repeats, and enters r where there is none.
 func (c *Core) prior(now int64, r *Request) kiteslip.RequestID {
 	if r.entry == "" {
@@ -127,7 +140,7 @@
 	e := c.table[r.entry]
 	switch {
 	case e == nil:
-	case keyed && e.ran != nil && r.Arrived <= max(e.guard, e.until):
+	case keyed && e.ran != nil && (r.Arrived <= max(e.guard, e.until) || e.runsFor(r)):
 		return e.ran.id
 	case e.kept != nil && r.Arrived <= e.until && e.kept.phase == held && !e.kept.answered:
 		return e.kept.id
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -104,7 +104,9 @@
 
 // Retune takes over new settings, in which classes and tenants have the places
 // that they had, and new ones follow. On an error nothing has changed. A key
-// whose request ran under a shorter window is kept for the longer one.
+// whose request ran under a shorter window is kept for the longer one, and no
+// window that was promised, nor the grace of a drain under way, gets longer or
+// shorter by it: what the older settings forbade stays forbidden.
 func (c *Core) Retune(module kiteslip.Settings, off []bool, pools *pool.Settings) error {
 	if pools != nil {
 		if err := pools.Check(); err != nil {
@@ -112,6 +114,9 @@
 		}
 	}
 	module = c.prepared(module)
+	if c.drainAt != 0 {
+		module.DrainGrace = min(module.DrainGrace, c.set.Module.DrainGrace)
+	}
 	if err := c.worker.Retune(module); err != nil {
 		return err
 	}
@@ -124,7 +129,7 @@
 	}
 	for _, e := range c.table {
 		if e.ran != nil && c.keyed(e.ran.Class) {
-			if guard := e.ran.Arrived + module.Classes[e.ran.Class].Window + keyMargin; guard > e.guard {
+			if guard := c.windowEnd(e.ran); guard > e.guard {
 				e.guard = guard
 				c.rerecord(e)
 			}
--- a/internal/core/journal.go
+++ b/internal/core/journal.go
@@ -62,7 +62,7 @@
 	if e := c.table[r.entry]; e != nil && e.ran == r {
 		return e.guard
 	}
-	return r.Arrived + c.set.Module.Classes[r.Class].Window + keyMargin
+	return c.windowEnd(r)
 }
 
 // record asks for the record of a start.
--- a/internal/core/keys.go
+++ b/internal/core/keys.go
@@ -130,7 +130,7 @@
 	switch {
 	case !c.owner || !c.keyed(class):
 		c.peer.Had(id, kiteslip.Failed, nil)
-	case e != nil && e.ran != nil && arrived <= max(e.guard, e.until):
+	case e != nil && e.ran != nil && (arrived <= max(e.guard, e.until) || e.ran.phase == running && e.ran.sum == sum):
 		switch r := e.ran; {
 		case r.sum != sum || r.phase == running && len(r.claims) >= claimsMost:
 			c.peer.Had(id, kiteslip.Failed, nil)
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -68,6 +68,8 @@
 
 	id       kiteslip.RequestID
 	sum      uint64 // of the body, in keyed classes
+	stamp    int64  // when it came by its caller's clock, which may be ahead of this one
+	window   int64  // of its key, by the settings when it came
 	entry    string // its place in the key table, "" for none
 	answered bool   // a final answer was given, or nobody waits for one
 	phase    phase
--- a/internal/core/round.go
+++ b/internal/core/round.go
@@ -124,7 +124,7 @@
 		if now <= max(e.until, e.guard)+lateRead {
 			continue
 		}
-		if e.ran != nil && e.ran.phase == running || e.ran == nil && e.kept != nil && e.kept.phase == held {
+		if e.ran != nil && (e.ran.phase == running || e.ran.phase == paused) || e.ran == nil && e.kept != nil && e.kept.phase == held {
 			continue
 		}
 		delete(c.table, key)
--- a/internal/core/runs.go
+++ b/internal/core/runs.go
@@ -112,7 +112,7 @@
 			c.table[r.entry] = e
 		}
 		// Guards the single run of a key: a try that came in the window of one that ran takes its result.
-		if e.ran != nil && r.Arrived <= e.guard {
+		if e.ran != nil && (r.Arrived <= e.guard || e.runsFor(r)) {
 			c.counts.Guarded++
 			c.copyOf(r, e.ran)
 			return
@@ -123,7 +123,7 @@
 			c.events = append(c.events, kiteslip.Event{Kind: kiteslip.Done, ID: r.id, Outcome: kiteslip.Moot})
 			return
 		}
-		e.ran, e.guard = r, r.Arrived+class.Window+keyMargin
+		e.ran, e.guard = r, c.windowEnd(r)
 	}
 	r.phase, r.began, r.begun = running, now, true
 	c.touch(r)
