A spoilt notice ends one link, not all; what waited too long for a link is not begun

Forced in internal/engine/crossings_test.go, seen failing on: - A DONE or NEED that cannot be read but for its number ended the link, and ATTACH asked for the same one again, without end (Link.notice). Its number is passed, if it is the very next one, and its run has failed. - A run that was handed over while no link stood was written when one came, however long past its due time, and held its place in the limit until then (Link.open, Link.Expire). It ends as one that never began.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -219,6 +219,7 @@
 		outcome, known := outcomes[string(words[3])]
 		result, took, ok := content(b[used:], words[5])
 		if err1 != nil || err2 != nil || !known || !ok {
+			l.spoilt(number, words[2], err1)
 			return bad()
 		}
 		if took == 0 {
@@ -241,6 +242,7 @@
 		number, err1 := strconv.ParseUint(string(words[1]), 10, 64)
 		body, took, ok := content(b[used:], words[3])
 		if err1 != nil || !ok {
+			l.spoilt(number, words[2], err1)
 			return bad()
 		}
 		if took == 0 {
@@ -307,6 +309,21 @@
 	return append([]byte(nil), b[:size]...), took, bytes.Equal(b[size:took], crlf)
 }
 
+// spoilt takes in a notice that cannot be read but for its number. The link ends
+// with it, and the next one asks for what follows: the same notice would end that
+// one too, and so on without end. Its run has failed: how it ended is not known.
+// Only the very next number is believed.
+func (l *Link) spoilt(number uint64, id []byte, err error) {
+	if err != nil || number != l.last+1 {
+		return
+	}
+	l.last = number
+	if u := l.runs[string(id)]; u != nil {
+		delete(l.runs, u.r.Name)
+		l.events.Done(u.r, kiteslip.Failed, max(0, l.now()-u.written), nil)
+	}
+}
+
 // advance notes the number of a notice; false means that it was read before.
 func (l *Link) advance(number uint64) bool {
 	if number <= l.last {
@@ -346,6 +363,10 @@
 	l.ready = true
 	t := l.now()
 	for _, u := range l.runs {
+		if u.written == 0 && !u.resumed && u.r.Due != 0 && t > u.r.Due {
+			l.unwritten(u)
+			continue
+		}
 		young := t-u.written < u.r.Hint/quickest
 		if u.written == 0 || u.lost && (young || u.resumed || l.safe[u.r.Class]) {
 			l.write(u)
@@ -354,6 +375,13 @@
 	}
 }
 
+// unwritten ends a run that is due and was never written to a link: it has not
+// begun, and nobody waits for it any more.
+func (l *Link) unwritten(u *run) {
+	delete(l.runs, u.r.Name)
+	l.events.Done(u.r, kiteslip.Moot, 0, nil)
+}
+
 // Expire ends, as failed, runs in doubt of which nothing was heard until they
 // were due: most likely they were lost with their link. Guards the places in
 // the module's limit, which few such runs would fill for many times as long as
@@ -362,6 +390,10 @@
 func (l *Link) Expire() {
 	t := l.now()
 	for name, u := range l.runs {
+		if u.written == 0 && !u.resumed && u.r.Due != 0 && t > u.r.Due {
+			l.unwritten(u)
+			continue
+		}
 		until := u.r.Due
 		if !u.lost {
 			until += giveUp
