One way to close: lingering close, half-closed callers answered, the queue taken in

Now nothing more is taken, what was read is answered, our side is shut, and what comes is read until the caller closes. Tries lie 50 ms apart, warnings a second. - A registry that cannot be reached at the start ended the process (Serve). It is sought beside the loop, where a name to look up held the loop before. - SIGTERM could be dropped by the runtime behind four SIGHUPs nobody had taken yet, and its time counted from when it was handled. Each kind has a channel, the notice its time, and files are read beside both. - A connection that enters has two descriptors: a burst passed the limit on sockets. Descriptors are divided in one place (places.go) and held by a weighted semaphore. - The slowest reader could be the link between the two processes of an upgrade.

Ruled out: a stop too short for its margins answered all before too (the module does); TestShortStopAnswersAll keeps it so. TestRequestCrossesTheEndOfOurSide and TestClosedCallerIsGone passed before as well.

--- a/cmd/kiteslip/main.go
+++ b/cmd/kiteslip/main.go
@@ -7,11 +7,9 @@
 	"io"
 	"math"
 	"os"
-	"os/signal"
 	"runtime"
 	"runtime/debug"
 	"strings"
-	"syscall"
 
 	"github.com/alecthomas/kong"
 	"go.uber.org/zap"
@@ -62,9 +60,7 @@
 const gcPercent = 50
 
 func (c *serveCmd) Run() error {
-	// First of all: a SIGHUP that nobody takes ends the process.
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	signals := server.Notify() // first of all
 	cfg, err := load(c.Operator)
 	if err != nil {
 		return err
--- a/internal/server/calls.go
+++ b/internal/server/calls.go
@@ -3,20 +3,12 @@
 import (
 	"go.uber.org/zap"
 
-	"kiteslip/internal/config"
 	"kiteslip/internal/core"
 	"kiteslip/internal/figures"
 	"kiteslip/internal/ledger"
 	"kiteslip/internal/reject"
 )
 
-// ledgerShare is the part of the descriptors that connections to the ledger may
-// take, and ledgerMost how many at most. They are set aside at the start.
-const (
-	ledgerShare = 8
-	ledgerMost  = 64
-)
-
 // below is what the server knows of calls below.
 type below struct {
 	client *ledger.Client // nil = there is no ledger
@@ -25,22 +17,6 @@
 	late   int // results that nobody waited for any more
 }
 
-// calling sets aside the descriptors of the ledger's connections, and says how
-// many that is.
-func (s *Server) calling() int {
-	s.below.ends = map[ledger.End]int{}
-	s.below.places = LedgerPlaces(s.cfg)
-	return s.below.places
-}
-
-// LedgerPlaces is how many connections to the ledger a server may hold.
-func LedgerPlaces(cfg *config.Config) int {
-	if cfg.Ledger == "" {
-		return 0
-	}
-	return max(1, min(cfg.Limits.Sockets/ledgerShare, ledgerMost))
-}
-
 // openLedger starts the client where a ledger is set up, or leads it to another address.
 func (s *Server) openLedger() {
 	var err error
--- a/internal/server/door.go
+++ b/internal/server/door.go
@@ -22,6 +22,7 @@
 	openedAt int64
 	endAt    int64 // when it is closed by us
 	answered bool
+	shut     bool // our side is closed
 	gone     bool
 }
 
@@ -71,25 +72,32 @@
 		answer = d.s.operate(line)
 	}
 	d.answered, d.endAt = true, now()+doorLinger
-	if _, err := d.conn.Write(answer); err != nil || d.gone {
-		return len(b), nil
-	}
-	if d.conn.OutboundBuffered() == 0 {
-		return len(b), unix.Shutdown(d.conn.Fd(), unix.SHUT_WR)
+	if _, err := d.conn.Write(answer); err == nil {
+		d.settle()
 	}
 	return len(b), nil
 }
 
-func (d *door) flush()          {}
-func (d *door) idle() idle      { return idle{} } // it holds no caller's place
-func (d *door) unsent() int     { return 0 }
-func (d *door) peer() gnet.Conn { return d.conn }
+// settle shuts our side once the answer has gone out.
+func (d *door) settle() {
+	if d.answered && !d.shut && !d.gone && d.conn.OutboundBuffered() == 0 {
+		d.shut = true
+		if err := unix.Shutdown(d.conn.Fd(), unix.SHUT_WR); err != nil {
+			hangUp(d.conn)
+		}
+	}
+}
+
+func (d *door) flush()      {}
+func (d *door) unsent() int { return 0 }
 
 // expire closes what has had its time.
 func (d *door) expire(t int64) {
 	if t >= d.endAt {
 		hangUp(d.conn)
+		return
 	}
+	d.settle()
 }
 
 // operate carries out one call at the door.
--- a/internal/server/engine.go
+++ b/internal/server/engine.go
@@ -31,8 +31,15 @@
 }
 
 // dial tries to reach the engine until a link stands or another search begins.
+// Guards both ends against links that break as soon as they stand: however a
+// search comes about, tries lie apart.
 func (s *Server) dial(search int64, address string) {
 	for !s.over.Load() && s.dials.Load() == search {
+		t := now()
+		if last := s.dialedAt.Swap(t); t-last < redial {
+			time.Sleep(time.Duration(redial-(t-last)) * time.Microsecond)
+			s.dialedAt.Store(now())
+		}
 		ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(dialMost))
 		c, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
 		cancel()
@@ -42,7 +49,6 @@
 			}
 		}
 		s.log.Debug("engine", zap.Error(err))
-		time.Sleep(redial * time.Microsecond)
 	}
 }
 
@@ -119,12 +125,8 @@
 	}
 }
 
-func (e *engineConn) idle() idle { return idle{} }
-
 func (e *engineConn) unsent() int { return 0 }
 
-func (e *engineConn) peer() gnet.Conn { return e.conn }
-
 // feed takes in notices. Guards against those that a replaced link still
 // brings: the same ones come on the link in use, under the same numbers.
 func (e *engineConn) feed(b []byte) (int, error) {
@@ -146,7 +148,10 @@
 	e.s.engine = nil
 	e.s.lost()
 	if !e.s.over.Load() {
-		e.s.log.Warn("the link to the engine is gone", zap.Int("running", e.s.link.Running()))
+		if t := now(); t-e.s.goneAt >= goneEvery { // one that breaks again and again says so once in a while
+			e.s.goneAt = t
+			e.s.log.Warn("the link to the engine is gone", zap.Int("running", e.s.link.Running()))
+		}
 		e.s.reach()
 	}
 }
--- a/internal/server/listeners.go
+++ b/internal/server/listeners.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"os"
 	"time"
 
 	"go.uber.org/zap"
@@ -14,6 +15,7 @@
 	net.Listener
 	session func() handler
 	slots   chan struct{}
+	door    bool // it is the operators', whose connections are handed over one by one
 }
 
 // Listen opens the listeners, which Serve does otherwise.
@@ -42,7 +44,7 @@
 			s.unlisten()
 			return fmt.Errorf("listen: %w", err)
 		}
-		s.listeners = append(s.listeners, front{l, f.session, s.slots})
+		s.listeners = append(s.listeners, front{Listener: l, session: f.session, slots: s.slots})
 	}
 	s.passed("") // one that is left over has no use
 	if s.cfg.Ops != "" {
@@ -51,7 +53,7 @@
 			s.unlisten()
 			return fmt.Errorf("ops: %w", err)
 		}
-		s.door = &front{l, func() handler { return newDoor(s) }, s.doorSlots}
+		s.door = &front{Listener: l, session: func() handler { return newDoor(s) }, slots: s.doorSlots, door: true}
 	}
 	return nil
 }
@@ -65,6 +67,7 @@
 	return addresses
 }
 
+// unlisten closes the listeners at once.
 func (s *Server) unlisten() {
 	s.stopping.Store(true)
 	for _, l := range s.listeners {
@@ -72,30 +75,118 @@
 	}
 }
 
+const (
+	lastLook  = 10 * time.Millisecond // an accept that waits so long has found the system's queue empty
+	noRoom    = 10 * time.Millisecond // between two tries to accept while that fails
+	warnEvery = time.Second           // between two lines in the log that say so
+)
+
+// endListening closes the listeners once what stands in the system's queue has
+// been taken in: a listener that is closed resets what waits there, with the
+// requests that came on it. A socket that another process goes on accepting on
+// keeps its queue.
+func (s *Server) endListening() {
+	s.stopping.Store(true)
+	for i, l := range s.listeners {
+		queue, ok := l.Listener.(interface{ SetDeadline(time.Time) error })
+		if s.accepting == 0 || s.handing.handed || i == 0 && s.cfg.InheritedFD != 0 || !ok || queue.SetDeadline(time.Now().Add(lastLook)) != nil {
+			l.Close()
+		}
+	}
+}
+
 // accept takes connections as long as there is a slot for them. It never waits
 // for the loop: what stands in the system's queue is taken in one turn, see
 // docs/design/door.md.
 func (s *Server) accept(l front) {
-	for {
-		l.slots <- struct{}{}
+	defer s.onLoop(func() {
+		if !l.door {
+			s.accepting--
+		}
+		s.schedule()
+	})
+	defer l.Close()
+	warned := time.Time{}
+	for s.takeSlot(l) {
+		if s.stopping.Load() && !l.door {
+			if queue, ok := l.Listener.(interface{ SetDeadline(time.Time) error }); ok {
+				queue.SetDeadline(time.Now().Add(lastLook)) //nolint:errcheck // then the listener is closed already
+			}
+		}
 		c, err := l.Accept()
 		if err == nil {
-			go s.enter(c, l)
+			s.entering.Add(1)
+			if l.door {
+				s.enter(c, l)
+			} else {
+				go s.enter(c, l)
+			}
 			continue
 		}
-		<-l.slots
-		if errors.Is(err, net.ErrClosed) {
+		s.freeSlot(l)
+		switch {
+		case errors.Is(err, net.ErrClosed) || s.stopping.Load() && errors.Is(err, os.ErrDeadlineExceeded):
+			return
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			continue
+		}
+		// Most likely the system is out of descriptors. Guards the processor and the log against a loop that fails at once.
+		if time.Since(warned) >= warnEvery {
+			warned = time.Now()
+			s.log.Warn("accept", zap.Error(err))
+		}
+		select {
+		case <-time.After(noRoom):
+		case <-s.ended:
 			return
 		}
-		s.log.Warn("accept", zap.Error(err))
-		time.Sleep(10 * time.Millisecond) // out of descriptors, most likely
 	}
 }
 
+// A connection that is being handed to the loop has two descriptors for a moment.
+const enterDescriptors = 2
+
+// takeSlot waits for a place, and where the front has callers for descriptors;
+// false = the process ends.
+func (s *Server) takeSlot(l front) bool {
+	select {
+	case l.slots <- struct{}{}:
+	case <-s.ended:
+		return false
+	}
+	if l.door {
+		return true
+	}
+	if s.descriptors.Acquire(s.life, enterDescriptors) != nil {
+		<-l.slots
+		return false
+	}
+	return true
+}
+
+// freeSlot gives back what takeSlot took, where no connection came of it.
+func (s *Server) freeSlot(l front) {
+	if !l.door {
+		s.descriptors.Release(enterDescriptors)
+	}
+	<-l.slots
+}
+
+// leaveSlot gives back the place of a caller's connection that is gone.
+func (s *Server) leaveSlot() {
+	s.descriptors.Release(1)
+	<-s.slots
+}
+
 // enter hands an accepted connection to the loop and waits until that has it.
 func (s *Server) enter(c net.Conn, l front) {
+	defer s.entering.Add(-1)
 	if _, err := s.client.EnrollContext(c, l.session()); err != nil {
-		<-l.slots
+		s.freeSlot(l)
 		s.log.Warn("accept", zap.Error(err))
+		return
+	}
+	if !l.door {
+		s.descriptors.Release(enterDescriptors - 1)
 	}
 }
--- /dev/null
+++ b/internal/server/places.go
@@ -0,0 +1,60 @@
+package server
+
+import (
+	"kiteslip/internal/config"
+)
+
+// Places say how the descriptors that the platform grants are divided, so that
+// callers, however many come and stay, never take what the server itself needs.
+type Places struct {
+	Own         int // the loop, the engine's link and its search, the registry, listeners, files
+	Door        int // operators' connections
+	Ledger      int // connections to the ledger
+	Backends    int // calls of uwsgi servers at once
+	Descriptors int // that callers' connections may take, those that are entering twice
+	Callers     int // callers' connections at most
+}
+
+const (
+	ownDescriptors     = 24 // measured: 15 at rest, 19 while a link is sought beside one in use
+	meetingDescriptors = 8  // an upgrade's meeting place, its lock and links
+	keyDescriptors     = 64 // the store of keys: its lock, logs and tables
+	doorShare          = 8  // the part of the descriptors that the operators' door may take
+	ledgerShare        = 8  // ... that connections to the ledger may take
+	ledgerMost         = 64
+	backendShare       = 4  // the part of what is left that calls of uwsgi servers may take
+	enteringShare      = 16 // ... that is kept for connections that are entering
+	enteringMost       = 40
+	callersLeast       = 2
+)
+
+// PlacesOf divides the descriptors that the limits grant.
+func PlacesOf(cfg *config.Config) Places {
+	p := Places{Own: ownDescriptors, Ledger: LedgerPlaces(cfg)}
+	if cfg.InheritedFD != 0 {
+		p.Own += meetingDescriptors
+	}
+	if cfg.Keys.Folder != "" {
+		p.Own += min(keyDescriptors, cfg.Limits.Sockets/4)
+	}
+	if cfg.Ops != "" {
+		p.Door = max(1, min(doorPlaces, cfg.Limits.Sockets/doorShare))
+	}
+	rest := cfg.Limits.Sockets - p.Own - p.Door - p.Ledger
+	if uses(cfg.Backends) {
+		// One that is being handed to the loop has two for a moment.
+		p.Backends = max(1, rest/backendShare/enterDescriptors)
+		rest -= enterDescriptors * p.Backends
+	}
+	p.Descriptors = max(callersLeast*enterDescriptors, rest)
+	p.Callers = max(callersLeast, p.Descriptors-max(enterDescriptors, min(enteringMost, cfg.Limits.Sockets/enteringShare)))
+	return p
+}
+
+// LedgerPlaces is how many connections to the ledger a server may hold.
+func LedgerPlaces(cfg *config.Config) int {
+	if cfg.Ledger == "" {
+		return 0
+	}
+	return max(1, min(cfg.Limits.Sockets/ledgerShare, ledgerMost))
+}
--- a/internal/server/reload.go
+++ b/internal/server/reload.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"os"
 	"slices"
 
 	"go.uber.org/zap"
@@ -12,6 +13,19 @@
 	"kiteslip/internal/uwsgi"
 )
 
+// reloads takes in SIGHUP, beside the loop and beside the notice to leave: a file
+// that is slow to read holds back neither.
+func (s *Server) reloads(signals <-chan os.Signal) {
+	for {
+		select {
+		case <-signals:
+			s.reload()
+		case <-s.ended:
+			return
+		}
+	}
+}
+
 // reload reads the configuration anew and takes over what can change while
 // the server runs. Guards against a file that is half written or faulty: it is
 // read and checked as a whole first, and the one in use stays if it fails.
@@ -102,21 +116,39 @@
 	s.link.Classes(cfg.Classes, safe)
 }
 
-// reregister sends the reports to the registry that holds now.
+// reregister sends the reports to the registry that holds now. It is reached
+// beside the loop: its address may be a name that is slow to be looked up, or
+// cannot be reached for now. Nothing waits for it, and report tries again.
 func (s *Server) reregister() {
 	if s.beacon != nil {
 		s.beacon.Close()
 		s.beacon = nil
 	}
+	s.registering++
+	at := s.registering
 	if s.cfg.Registry == "" {
 		return
 	}
-	beacon, err := registry.Dial(s.cfg.Registry, s.cfg.Name)
-	if err != nil {
-		s.log.Error("registry", zap.Error(err)) // report tries again
-		return
-	}
-	s.beacon = beacon
+	address, name := s.cfg.Registry, s.cfg.Name
+	s.seeking = true
+	go func() {
+		beacon, err := registry.Dial(address, name)
+		s.onLoop(func() {
+			switch {
+			case at != s.registering: // it has moved meanwhile
+				if err == nil {
+					beacon.Close()
+				}
+				return
+			case err != nil:
+				s.seeking, s.seekAt = false, now()+seekEvery
+				s.log.Warn("registry", zap.Error(err))
+				return
+			}
+			s.seeking, s.beacon, s.reportAt = false, beacon, 0
+			s.schedule()
+		})
+	}()
 }
 
 // uses says whether any class is served by a backend.
--- a/internal/server/round.go
+++ b/internal/server/round.go
@@ -16,9 +16,7 @@
 	feed(b []byte) (int, error) // returns how many bytes were used
 	closed()
 	flush()
-	idle() idle      // what it says of itself when places are short
-	unsent() int     // bytes of answers that were not taken yet
-	peer() gnet.Conn // its connection
+	unsent() int // bytes that were not taken yet
 }
 
 // schedule asks for one round after all that is ready has been read. gnet has
@@ -93,7 +91,7 @@
 				s.Tested(tag, false)
 			}
 		}
-		if s.beacon == nil && s.cfg.Registry != "" {
+		if s.beacon == nil && !s.seeking && t >= s.seekAt && s.cfg.Registry != "" {
 			s.reregister()
 		}
 		if s.beacon != nil {
@@ -127,11 +125,11 @@
 
 // gather writes the parts in as few system calls as they fit into, and
 // returns the emptied list for the next ones.
-func gather(c gnet.Conn, parts [][]byte) [][]byte {
+func gather(c outlet, parts [][]byte) [][]byte {
 	for rest := parts; len(rest) > 0; {
 		n := min(len(rest), iovMost)
 		if _, err := c.Writev(rest[:n]); err != nil {
-			break // gnet has closed the connection
+			break // the connection is gone
 		}
 		rest = rest[n:]
 	}
--- a/internal/server/seats.go
+++ b/internal/server/seats.go
@@ -4,9 +4,7 @@
 	"cmp"
 	"slices"
 
-	"github.com/panjf2000/gnet/v2"
 	"go.uber.org/zap"
-	"golang.org/x/sys/unix"
 )
 
 // Connections are few, and a caller that never lets go of one must not keep
@@ -45,27 +43,40 @@
 	}
 	unsent := 0
 	for h := range s.sessions {
-		unsent += h.unsent()
 		if e, ok := h.(interface{ expire(int64) }); ok {
 			e.expire(t)
 			continue
 		}
 		f, ok := h.(*session)
 		if !ok {
-			continue // the uwsgi front has times of its own, see expire
+			if w, ok := h.(*webSession); ok { // it has times of its own, see expire
+				unsent += w.unsent()
+			}
+			continue
 		}
+		unsent += f.unsent()
 		at, within := f.idle(), int64(firstWord)
 		if at.served {
 			within = restOf // it may carry open requests, and a standstill of the machine cuts frames in two
 		}
 		switch {
+		case f.shutAt != 0:
+			if t >= f.until {
+				f.hangUp()
+			}
+		case f.half != nil && f.half.push() != nil:
+			f.hangUp()
+		case f.deaf:
+			f.settle(t)
 		case f.partAt != 0 && t-f.partAt >= within:
-			f.end(errPart)
+			f.quit(errPart)
 		case at.since == 0:
 		case !at.served && t-f.openedAt >= firstWord:
-			f.end(errSilent)
+			if !unread(f.conn) {
+				f.quit(errSilent)
+			}
 		case f.away && t-max(at.since, f.awayAt) >= awayLinger:
-			hangUp(f.conn)
+			f.part(t)
 		case !f.away && after > 0 && t-at.since >= after && (f.highest > 0 || t-at.since >= s.cfg.Module.IdleAfter):
 			f.goAway() // the caller closes, so that no request can cross
 		}
@@ -77,9 +88,10 @@
 	s.makeRoom(t)
 }
 
-// makeRoom closes idle connections until a part of the places is free: first
+// makeRoom ends idle connections until a part of the places is free: first
 // those that never brought a thing, then those idle for longest. Guards
-// against clients that connect and hold on, until callers are not let in.
+// against clients that connect and hold on, until callers are not let in. Those
+// whose end is under way leave their places once nothing can cross any more.
 func (s *Server) makeRoom(t int64) {
 	short := cap(s.slots)/freeShare - (cap(s.slots) - len(s.slots))
 	if short <= 0 {
@@ -87,14 +99,25 @@
 	}
 	type place struct {
 		idle
-		h handler
+		h seat
 	}
 	var places []place
-	for h := range s.sessions {
-		if at := h.idle(); at.since != 0 && t-at.since >= settled {
+	var leaving []seat
+	for h := range s.seats {
+		if e := h.end(); e.shutAt != 0 {
+			if t-e.shutAt >= crossing {
+				leaving = append(leaving, h)
+			}
+		} else if at := h.idle(); at.since != 0 && t-at.since >= settled {
 			places = append(places, place{at, h})
 		}
 	}
+	if short -= s.lingering; short <= 0 && len(leaving) == 0 {
+		return // their places come free in a moment
+	}
+	for _, h := range leaving {
+		h.hangUp()
+	}
 	slices.SortFunc(places, func(a, b place) int {
 		if a.served != b.served {
 			if a.served {
@@ -105,37 +128,26 @@
 		return cmp.Compare(a.since, b.since)
 	})
 	for _, p := range places {
-		if short == 0 {
+		if short <= 0 {
 			return
 		}
-		if c := p.h.peer(); !unread(c) {
-			hangUp(c)
+		p.h.part(t)
+		if p.h.end().shutAt != 0 {
 			short--
 		}
 	}
 }
 
-// closeSlowest closes the connection that most answers wait for.
+// closeSlowest closes the caller's connection that most answers wait for.
 func (s *Server) closeSlowest() {
-	var slowest handler
-	for h := range s.sessions {
+	var slowest seat
+	for h := range s.seats {
 		if slowest == nil || h.unsent() > slowest.unsent() {
 			slowest = h
 		}
 	}
 	if slowest != nil {
 		s.log.Warn("closing", zap.Error(errSlow))
-		hangUp(slowest.peer())
+		slowest.hangUp()
 	}
 }
-
-// unread says whether bytes wait in the socket: a request may have come that the loop has not seen.
-func unread(c gnet.Conn) bool {
-	n, err := unix.IoctlGetInt(c.Fd(), unix.TIOCINQ)
-	return err == nil && n > 0
-}
-
-// hangUp closes a connection; its handler hears of it before hangUp returns.
-func hangUp(c gnet.Conn) {
-	c.EventLoop().Close(c) //nolint:errcheck // it is gone either way
-}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -16,36 +16,34 @@
 
 	"github.com/panjf2000/gnet/v2"
 	"go.uber.org/zap"
+	"golang.org/x/sync/semaphore"
 	"golang.org/x/sys/unix"
 
 	"kiteslip/internal/config"
 	"kiteslip/internal/core"
 	"kiteslip/internal/engine"
 	"kiteslip/internal/frame"
+	"kiteslip/internal/ledger"
 	"kiteslip/internal/registry"
 	"kiteslip/internal/reject"
 	"kiteslip/internal/uwsgi"
 )
 
 const (
-	spareSockets = 64        // descriptors kept for the loop, the engine, the registry and accepting
-	readBuffer   = 64 << 10  // of the loop, shared by all connections
-	outMost      = 256 << 10 // what a slow reader may leave unread before its connection is closed
-	iovMost      = 512       // slices of one gathered write, under the system's 1,024
-	redial       = 50_000    // between tries to reach the engine
-	dialMost     = time.Second
-	gaugeEvery   = 10_000     // between two questions for the gauges while requests are in hand
-	lingerClose  = 250_000    // from GOAWAY to the exit: what crosses it comes within 50 ms
-	answerTime   = 950_000    // kept for answers between GOAWAY and the stop; the module takes nothing then
-	refuseTime   = 1_200_000  // from GOAWAY to the close of the listeners: who comes late is told to stay away
-	closeTime    = 500_000    // ... which is this long before the stop at the latest
-	exitMargin   = 150_000    // the process is gone this long before the stop, whatever is left
-	heldDivisor  = 8          // part of the memory that half-read frames may take
-	bigBuffer    = 16 << 10   // ... above which a connection that holds more is closed
-	expireEvery  = 20_000     // between two looks for what has run out of time
-	checkTime    = 2_000_000  // a deep check waits this long for the engine
-	checksMost   = 16         // deep checks that wait at once
-	statusEvery  = 10_000_000 // between two lines of totals in the log
+	readBuffer  = 64 << 10  // of the loop, shared by all connections
+	outMost     = 256 << 10 // what a slow reader may leave unread before its connection is closed
+	iovMost     = 512       // slices of one gathered write, under the system's 1,024
+	redial      = 50_000    // between tries to reach the engine
+	seekEvery   = 1_000_000 // between tries to reach the registry
+	goneEvery   = 1_000_000 // between two lines in the log that the engine\'s link is gone
+	dialMost    = time.Second
+	gaugeEvery  = 10_000     // between two questions for the gauges while requests are in hand
+	heldDivisor = 8          // part of the memory that half-read frames may take
+	bigBuffer   = 16 << 10   // ... above which a connection that holds more is closed
+	expireEvery = 20_000     // between two looks for what has run out of time
+	checkTime   = 2_000_000  // a deep check waits this long for the engine
+	checksMost  = 16         // deep checks that wait at once
+	statusEvery = 10_000_000 // between two lines of totals in the log
 )
 
 // Server is one real server.
@@ -58,6 +56,10 @@
 	beacon *registry.Beacon
 	engine *engineConn  // the link in use; nil while there is none
 	dials  atomic.Int64 // numbers the searches for the engine; only the latest counts
+
+	dialedAt atomic.Int64 // when it was last tried to reach the engine
+	goneAt   int64        // when it was last logged that the link is gone
+
 	// Reload reads the configuration anew, for SIGHUP; nil = what was read at the start stays.
 	Reload func() (*config.Config, error)
 	names  *frame.Names
@@ -69,10 +71,18 @@
 
 	listeners []front
 	slots     chan struct{} // one for each connection that may be open
-	door      *front        // for operators; nil = not set up
-	doorSlots chan struct{} // the places there
-	sessions  map[handler]struct{}
-	buffered  int // bytes of half-read frames, over all connections
+	lingering int           // connections whose end is under way, see closing.go
+	accepting int           // listeners of callers that are still accepted on
+	entering  atomic.Int64  // connections that were accepted and are not on the loop yet
+
+	descriptors *semaphore.Weighted // for callers' connections
+	life        context.Context     // of the run
+	ended       <-chan struct{}     // closed with it
+	end         context.CancelFunc
+	door        *front        // for operators; nil = not set up
+	doorSlots   chan struct{} // the places there
+	sessions    map[handler]struct{}
+	buffered    int // bytes of half-read frames, over all connections
 
 	dirty     []handler
 	scheduled bool
@@ -80,18 +90,20 @@
 	timerAt   int64
 	statAt    int64
 	reportAt  int64
-	logAt     int64
-	stopAt    int64 // when the process is killed; 0 = no notice yet
-	awayAt    int64 // when connections are told to go
-	closeAt   int64 // when listeners close
-	away      bool
-	serving   bool // clients are taken
-	called    int  // runs that were handed to backends
-	applied   int  // configuration files taken at SIGHUP
-	rejected  int  // and turned down
-	handing   upgrade
-	stopping  atomic.Bool // listeners are closed on purpose
-	over      atomic.Bool // the run has ended
+
+	registering int   // numbers the searches for the registry; only the latest counts
+	seeking     bool  // one is under way
+	seekAt      int64 // not before this
+
+	logAt int64
+	leaving
+	serving  bool // clients are taken
+	called   int  // runs that were handed to backends
+	applied  int  // configuration files taken at SIGHUP
+	rejected int  // and turned down
+	handing  upgrade
+	stopping atomic.Bool // listeners are closed on purpose
+	over     atomic.Bool // the run has ended
 
 	keys     keys
 	book     *uwsgi.Book
@@ -119,16 +131,13 @@
 		sessions: map[handler]struct{}{}, checks: map[string]check{},
 		backends: map[*backendConn]struct{}{},
 	}
-	room := cfg.Limits.Sockets - spareSockets
-	if cfg.Ops != "" {
-		room -= doorPlaces
-		s.doorSlots = make(chan struct{}, doorPlaces)
-	}
-	room = max(8, room-s.calling())
-	if uses(cfg.Backends) {
-		s.calls = room / 4
-	}
-	s.slots = make(chan struct{}, room-s.calls)
+	s.life, s.end = context.WithCancel(context.Background())
+	s.ended = s.life.Done()
+	p := PlacesOf(cfg)
+	s.below.ends, s.below.places = map[ledger.End]int{}, p.Ledger
+	s.calls = p.Backends
+	s.slots, s.doorSlots = make(chan struct{}, p.Callers), make(chan struct{}, p.Door)
+	s.descriptors = semaphore.NewWeighted(int64(p.Descriptors))
 	s.link = engine.NewLink(s, now)
 	s.name()
 	var err error
@@ -145,7 +154,7 @@
 }
 
 // Serve serves until the drain is over or something that it cannot do without fails.
-func (s *Server) Serve(signals <-chan os.Signal) error {
+func (s *Server) Serve(signals Signals) error {
 	var err error
 	if s.client, err = gnet.NewClient(s, gnet.WithReadBufferCap(readBuffer), gnet.WithTCPNoDelay(gnet.TCPNoDelay),
 		gnet.WithLogger(s.log.Sugar())); err != nil {
@@ -155,6 +164,7 @@
 		return err
 	}
 	defer func() {
+		s.end()
 		s.client.Stop() //nolint:errcheck // nothing is left to be done about it
 		if s.beacon != nil {
 			s.beacon.Close()
@@ -163,11 +173,6 @@
 	if err = s.findLoop(); err != nil {
 		return err
 	}
-	if s.cfg.Registry != "" {
-		if s.beacon, err = registry.Dial(s.cfg.Registry, s.cfg.Name); err != nil {
-			return err
-		}
-	}
 	if err = s.meet(); err != nil {
 		return err
 	}
@@ -188,14 +193,11 @@
 		defer s.door.Close()
 		go s.accept(*s.door)
 	}
+	go s.reloads(signals.Reload)
 	for {
 		select {
-		case sig := <-signals:
-			if sig == unix.SIGHUP {
-				s.reload()
-				continue
-			}
-			s.onLoop(func() { s.drain(sig.String()) })
+		case n := <-signals.Stop:
+			s.onLoop(func() { s.drain(n.Signal.String(), n.At.UnixMicro()) })
 		case err := <-s.done:
 			return err
 		}
@@ -268,9 +270,13 @@
 }
 
 // OnClose is called by gnet on the loop when a connection has ended.
-func (s *Server) OnClose(c gnet.Conn, _ error) gnet.Action {
+func (s *Server) OnClose(c gnet.Conn, err error) gnet.Action {
 	if h, ok := c.Context().(handler); ok {
 		if _, open := s.sessions[h]; open {
+			if f, ok := h.(*session); ok && f.halve(err) {
+				s.schedule()
+				return gnet.None
+			}
 			delete(s.sessions, h)
 			h.closed()
 			s.schedule()
--- a/internal/server/session.go
+++ b/internal/server/session.go
@@ -14,6 +14,7 @@
 type session struct {
 	s       *Server
 	conn    gnet.Conn
+	half    *half                    // in place of conn, once the caller has ended its side
 	open    map[uint32]*core.Request // by stream, without an answer
 	highest uint32                   // streams up to this were used
 	heads   []byte
@@ -29,6 +30,7 @@
 	checks  int // that wait for the engine
 
 	openedAt int64
+	closing
 }
 
 // faultsMost is how many requests that cannot be read one connection may bring
@@ -49,10 +51,24 @@
 	}
 }
 
+// outlet is what answers are written to.
+type outlet interface {
+	Writev(parts [][]byte) (int, error)
+	OutboundBuffered() int
+}
+
+func (f *session) outlet() outlet {
+	if f.half != nil {
+		return f.half
+	}
+	return f.conn
+}
+
 func (f *session) closed() {
 	f.gone = true
 	f.s.buffered -= f.held
-	<-f.s.slots
+	f.s.lingered(&f.closing)
+	f.s.leaveSlot()
 	for _, r := range f.open {
 		f.s.core.Gone(r)
 	}
@@ -64,8 +80,13 @@
 	}
 }
 
-// feed takes in all whole frames of b.
+// feed takes in all whole frames of b. An error ends what is taken, and the
+// connection once all that was taken before is answered: it costs no other
+// request its answer.
 func (f *session) feed(b []byte) (int, error) {
+	if f.deaf {
+		return len(b), nil
+	}
 	f.usedAt = now()
 	used := 0
 	for {
@@ -75,13 +96,15 @@
 			f.partAt = 0
 			err = f.take(&fr)
 		}
-		if err != nil {
-			// What follows cannot be told apart any more: say so and close.
-			f.fault(0, err)
-			return used, err
+		if err == nil && n == 0 {
+			if err = f.hold(len(b) - used); err == nil {
+				return used, nil
+			}
 		}
-		if n == 0 {
-			return used, f.hold(len(b) - used)
+		if err != nil {
+			// What follows cannot be told apart any more.
+			f.quit(err)
+			return len(b), nil
 		}
 	}
 }
@@ -129,8 +152,8 @@
 
 // request takes in one request, or answers why it cannot. Guards against
 // clients that do not count their streams: answers could not be told apart, so
-// a number that was used before, or more open than the protocol allows, ends the
-// connection, and what came with it is withdrawn before it can run.
+// with a number that was used before, or with more open than the protocol
+// allows, nothing more is taken on the connection.
 func (f *session) request(fr *frame.Frame) error {
 	switch {
 	case fr.Stream == 0:
@@ -159,11 +182,46 @@
 	return nil
 }
 
-// end closes the connection, after an error on stream 0.
-func (f *session) end(why error) {
+// quit takes nothing more, after an error on stream 0.
+func (f *session) quit(why error) {
 	f.fault(0, why)
+	f.deaf = true
+	f.s.buffered -= f.held
+	f.held, f.partAt = 0, 0
+}
+
+// part ends the connection in an orderly way, unless something waits unread.
+func (f *session) part(t int64) {
+	if f.half == nil && !f.deaf && unread(f.conn) {
+		return // taken in first
+	}
+	f.goAway()
+	f.deaf = true
 	f.flush()
-	if !f.gone {
+	f.settle(t)
+}
+
+// settle shuts our side of a connection that is to end, once nothing is owed on it.
+func (f *session) settle(t int64) {
+	switch {
+	case f.gone || !f.deaf || f.shutAt != 0 || len(f.open)+f.checks+len(f.out) > 0 || f.unsent() > 0:
+	case f.half != nil:
+		f.hangUp() // the caller's side has ended before
+	default:
+		f.s.shut(f, t, f.s.linger())
+	}
+}
+
+// hangUp closes the connection at once; what is open has no caller any more.
+func (f *session) hangUp() {
+	switch {
+	case f.gone:
+	case f.half != nil:
+		f.half.close()
+		delete(f.s.sessions, f)
+		f.closed()
+		f.s.schedule()
+	default:
 		hangUp(f.conn)
 	}
 }
@@ -175,8 +233,14 @@
 	return idle{since: f.usedAt, served: f.served}
 }
 
-func (f *session) unsent() int     { return f.conn.OutboundBuffered() }
-func (f *session) peer() gnet.Conn { return f.conn }
+func (f *session) unsent() int { return f.outlet().OutboundBuffered() }
+
+func (f *session) peer() gnet.Conn {
+	if f.half != nil {
+		return nil
+	}
+	return f.conn
+}
 
 // fault answers what cannot be read.
 func (f *session) fault(stream uint32, err error) {
@@ -269,10 +333,16 @@
 	if f.gone || len(f.out) == 0 {
 		return
 	}
-	f.out = gather(f.conn, f.out)
+	f.out = gather(f.outlet(), f.out)
 	f.heads = f.heads[:0]
-	if !f.gone && f.conn.OutboundBuffered() > outMost {
+	switch {
+	case f.gone:
+	case f.half != nil && f.half.err != nil:
+		f.hangUp()
+	case f.unsent() > outMost:
 		f.s.log.Warn("closing", zap.Error(errSlow))
-		hangUp(f.conn)
+		f.hangUp()
+	default:
+		f.settle(now())
 	}
 }
--- a/internal/server/upgrade.go
+++ b/internal/server/upgrade.go
@@ -248,9 +248,7 @@
 	}
 }
 
-func (p *peerConn) idle() idle      { return idle{} }
-func (p *peerConn) unsent() int     { return p.conn.OutboundBuffered() }
-func (p *peerConn) peer() gnet.Conn { return p.conn }
+func (p *peerConn) unsent() int { return p.conn.OutboundBuffered() }
 
 // Claim asks the owner for the start of a request.
 func (p *peerConn) Claim(id uint32, class int, key string, arrived int64, sum uint64) {
@@ -470,6 +468,7 @@
 	s.await()
 	s.serving = true
 	for _, l := range s.listeners {
+		s.accepting++
 		go s.accept(l)
 	}
 	s.log.Info("serving", zap.String("name", s.cfg.Name), zap.String("listen", s.cfg.Listen),
@@ -525,8 +524,8 @@
 	for i := range s.cfg.Module.Classes {
 		longest = max(longest, s.cfg.Module.Classes[i].Limit)
 	}
-	s.stopAt = t + min(longest, leaveMost) + leaveRest
-	s.awayAt, s.closeAt = t, t
+	s.leaving = leavingTimes(t, min(longest, leaveMost)+leaveRest, 0)
+	s.closeAt = t
 	s.log.Info("leaving to the other process", zap.Int64("stop_ms", (s.stopAt-t)/1000))
 	s.core.Leave(s.stopAt)
 	s.round()
@@ -555,17 +554,21 @@
 func (s *Server) unshare() {
 	debug.SetMemoryLimit(s.cfg.Limits.Heap())
 	for ; s.handing.reserved > 0; s.handing.reserved-- {
-		<-s.slots
+		s.leaveSlot()
 	}
 }
 
 // reserve keeps places free for the other process, as soon as they are.
 func (s *Server) reserve() {
 	for s.handing.peer != nil && s.handing.reserved < cap(s.slots)/memoryShared {
+		if !s.descriptors.TryAcquire(1) {
+			return
+		}
 		select {
 		case s.slots <- struct{}{}:
 			s.handing.reserved++
 		default:
+			s.descriptors.Release(1)
 			return
 		}
 	}
--- a/internal/server/web.go
+++ b/internal/server/web.go
@@ -11,7 +11,6 @@
 
 	"github.com/panjf2000/gnet/v2"
 	"go.uber.org/zap"
-	"golang.org/x/sys/unix"
 
 	"kiteslip"
 	"kiteslip/internal/core"
@@ -28,12 +27,12 @@
 	length   int           // of the body
 	waits    bool          // the request is in the core
 	answered bool
-	shut     bool // our side is closed, the caller's is not
 	gone     bool
 	held     int
 	openedAt int64
 	readBy   int64
 	out      [][]byte
+	closing
 }
 
 func newWebSession(s *Server) *webSession { return &webSession{s: s} }
@@ -51,7 +50,8 @@
 	f.gone = true
 	f.hold(0)
 	f.s.webs--
-	<-f.s.slots
+	f.s.lingered(&f.closing)
+	f.s.leaveSlot()
 	if f.waits && !f.answered {
 		f.s.core.Gone(f.request)
 	}
@@ -76,7 +76,7 @@
 
 func (f *webSession) feed(b []byte) (int, error) {
 	used := 0
-	if f.waits || f.answered {
+	if f.waits || f.answered || f.deaf {
 		return len(b), nil // nothing more is owed an ear on this connection
 	}
 	if f.request == nil {
@@ -165,20 +165,28 @@
 	f.settle()
 }
 
-// settle closes a connection whose answer has gone out. Guards an answer that
-// comes before the body has: closing with bytes unread would make the system
-// reset the connection and the caller lose the answer, so only our side is
-// shut, and the rest is read until the caller closes or readBy comes.
+// settle shuts our side of a connection whose answer has gone out. Guards the
+// answer: closing with bytes unread would make the system reset the connection,
+// so the rest is read until the caller closes or readBy comes.
 func (f *webSession) settle() {
-	if f.gone || f.shut || !f.answered || len(f.out) > 0 || f.conn.OutboundBuffered() > 0 {
+	if f.gone || f.shutAt != 0 || !f.answered && !f.deaf || len(f.out) > 0 || f.conn.OutboundBuffered() > 0 {
 		return
 	}
-	if f.waits {
-		hangUp(f.conn)
+	t := now()
+	f.s.shut(f, t, max(0, f.readBy-t))
+}
+
+// part ends the connection, unless a request is in hand or waits unread.
+func (f *webSession) part(int64) {
+	if f.waits && !f.answered || !f.answered && unread(f.conn) {
 		return
 	}
-	f.shut = true
-	if err := unix.Shutdown(f.conn.Fd(), unix.SHUT_WR); err != nil {
+	f.deaf = true
+	f.settle()
+}
+
+func (f *webSession) hangUp() {
+	if !f.gone {
 		hangUp(f.conn)
 	}
 }
@@ -194,7 +202,7 @@
 		f, ok := h.(*webSession)
 		switch {
 		case !ok || f.waits && !f.answered:
-		case f.answered && t >= f.readBy:
+		case (f.answered || f.deaf) && t >= f.readBy:
 			hangUp(f.conn)
 		case f.answered:
 			f.settle()
@@ -293,9 +301,7 @@
 
 func (b *backendConn) flush() {}
 
-func (b *backendConn) idle() idle      { return idle{} }
-func (b *backendConn) unsent() int     { return 0 }
-func (b *backendConn) peer() gnet.Conn { return b.conn }
+func (b *backendConn) unsent() int { return 0 }
 
 func (b *backendConn) parse(end bool) {
 	if b.finished {
