The sum of all workers' calls keeps the budget; a short stop halves its margins

Workers that start together and cannot talk each rounded a share below one call up to one (callRoom), and sent what was turned away at once again at once (called). Seen in calls_sum_test.go, thirty workers over one dependency, on: - shares of 0.3 (a budget of 9): 60 calls in hand at once where it hangs or is cold, 30 where it is quick; 17 are 2 root N + 2 beyond. - one that refuses: 5,490 calls in 5 s where 651 are allowed (share 0.8), 2,610 of 257. Now a worker has one call in hand for the part of the time that is its due, by chance, from the first one on; one that was turned away counts as a usual call, and after two in a row nothing is sent for as long as one takes; one given up with its request counts too. What a cold worker calls ramps with cold_from and warm_within, as what it runs does. All under the bound now, for shares of 0.1 to 2.5.

The margin before the stop is at most half of the time to it (it was 0.65 s whatever the time: at a stop of 0.5 s all was failed at the notice).

--- a/policy.go
+++ b/policy.go
@@ -38,7 +38,7 @@
 	restShare    = 0.25    // of its class's mean is still expected of a run that took longer
 	runAllowance = 1.3     // a run is counted on to take this many of its class's mean
 	crowdRoom    = 0.8     // runs in hand stay under this share of the crowd that kills
-	stopMargin   = 650_000 // all is answered this long before the stop: a standstill holds answers back
+	stopMargin   = 650_000 // all is answered this long before the stop (half of the time to it at most)
 	leaveMargin  = 300_000 // ... and nothing is taken for this long before that: a run cut short has failed
 	keyMargin    = 100_000 // an entry outlives its window by this
 	rateOver     = 4e6     // arrivals are counted with this memory, long against a burst's noise
@@ -75,6 +75,8 @@
 			w.born = now
 		}
 		acts = append(acts, Action{Kind: Health, On: true, Stored: true})
+		w.now = now
+		w.callFirst()
 	}
 	w.advance(now)
 	w.fresh = w.fresh[:0]
@@ -117,8 +119,10 @@
 		return w.arrive(e, acts)
 	case Drain:
 		w.drainAt, w.stop, w.replaced = w.now, e.Deadline, false
+		w.margin = min(stopMargin, (w.stop-w.now)/2)
 	case Handover:
 		w.stop, w.replaced = e.Deadline, true
+		w.margin = min(stopMargin, (w.stop-w.now)/2)
 	case Beside:
 		w.besideRuns, w.besideKB = max(0, e.Runs), max(0, e.SizeKB)
 	case Timer:
--- a/policy_admit.go
+++ b/policy_admit.go
@@ -50,7 +50,7 @@
 		draw := p >= 1 || p > 0 && w.rng.Float64() < p
 		noRoom := c.Effect == Keyed && w.memory+w.set.KeyKB > w.top()
 		leaving := w.stop != 0 && (!w.replaced && r.reached > w.drainAt+w.set.DrainGrace ||
-			w.now >= w.stop-stopMargin-leaveMargin)
+			w.now >= w.stop-w.margin-min(leaveMargin, w.margin/2))
 		// Guards against failing fast: what is refused can be served elsewhere.
 		failing := w.failing > failTell && w.now < w.probeAt && w.rng.Float64() < w.failing
 		if draw || noRoom || failing || leaving {
--- a/policy_answers.go
+++ b/policy_answers.go
@@ -6,7 +6,7 @@
 func (w *Worker) end(r *request) int64 {
 	end := r.due - 2*w.set.Tick - busyTimer
 	if w.stop != 0 {
-		end = min(end, w.stop-stopMargin)
+		end = min(end, w.stop-w.margin)
 	}
 	return end
 }
--- a/policy_calls.go
+++ b/policy_calls.go
@@ -3,6 +3,7 @@
 package kiteslip
 
 import (
+	"cmp"
 	"math"
 	"slices"
 )
@@ -16,10 +17,8 @@
 	r.waits += took
 	w.progress = w.now
 	w.callEnds(r, e.Outcome)
-	if w.callLimit < 1 && w.callMean > callSlow*w.callBase {
-		// Less than one call at a time is one now and then, by chance: workers that pause together return together.
-		pause := min(float64(took)*(1/w.callLimit-1), float64(w.set.CallsOver))
-		w.callNext = max(w.now, w.callNext) + int64(pause*(0.5+w.rng.Float64()))
+	if w.shared {
+		w.callPause(float64(took), e.Outcome != OK)
 	}
 	if t := float64(took); e.Outcome == OK || e.Outcome == TimedOut && t > w.callMean {
 		if w.callMean == 0 {
@@ -58,11 +57,48 @@
 	w.callLimit = max(least, min(limit, most))
 }
 
+// callPause moves the time of the next call. Less than one call at a time is one now and then, by chance:
+// workers that pause together return together. What is turned away at once counts as a usual call, or every
+// worker would send it again at once; after the second in a row nothing is sent for as long as one takes.
+func (w *Worker) callPause(took float64, failed bool) {
+	part := w.callPart()
+	if w.callLimit < 1 && w.callMean > callSlow*w.callBase {
+		part = min(part, w.callLimit)
+	}
+	usual := cmp.Or(w.callMean, callShort*float64(w.set.CallsOver))
+	if failed {
+		took = max(took, usual)
+	}
+	after := func(from int64, pause float64) int64 {
+		return max(w.now, from) + int64(min(pause, float64(w.set.CallsOver))*(0.5+w.rng.Float64()))
+	}
+	w.callNext = after(w.callNext, took*(1/part-1))
+	if failed && w.callFailed {
+		w.callAgain = after(w.callAgain, usual/max(1, w.callLimit))
+	}
+	w.callFailed = failed
+}
+
+// callPart is the part of the time in which a worker may have one call in hand, where less than one at a time
+// is its due: whatever a call takes, the sum of all workers' calls stays around what their shares add up to.
+func (w *Worker) callPart() float64 {
+	return max(min(shareSafe*w.set.CallShare*w.speed(), 1), 1e-3)
+}
+
+// callFirst spreads the first calls of workers that start together and cannot know of each other: what is
+// called at once is their part by chance, and the rest comes over the told span.
+func (w *Worker) callFirst() {
+	if part := w.callPart(); w.shared && w.rng.Float64() >= part {
+		w.callNext = w.now + int64(w.rng.Float64()*float64(w.set.CallsOver))
+	}
+}
+
 // callRoom is how long a call made now may take. A shared dependency dies of all workers' calls on the mean
 // of the told span. Each call is booked with all that it may take and linger; while what is booked in the
 // last span and ahead stays under a worker's share, no span holds more, whatever the dependency does.
 func (w *Worker) callRoom(r *request) int64 {
-	if float64(w.out) >= max(1, w.callLimit) || w.now < w.callNext && r.calls == 0 {
+	if float64(w.out) >= max(1, w.callLimit*w.speed()) ||
+		w.now < w.callNext && r.calls == 0 || w.now < w.callAgain {
 		w.callsFull = true
 		return 0
 	}
@@ -114,7 +150,7 @@
 			left = min(left, int64(callPatience*w.callMean))
 		}
 		patience := max(min(left, room), w.set.Tick, 1000)
-		need := min(float64(w.set.CallsOver)*callShort, w.budget/2, float64(left))
+		need := min(float64(w.set.CallsOver)*callShort, (w.budget-float64(w.set.Lingers))/2, float64(left))
 		if patience > room || float64(patience) < need {
 			continue
 		}
--- a/policy_limit.go
+++ b/policy_limit.go
@@ -11,6 +11,9 @@
 		return
 	}
 	wasCopy := r.phase == copying
+	if r.phase == calling && w.shared { // given up with its request
+		w.callPause(float64(w.now-r.callAt), true)
+	}
 	w.callEnds(r, TimedOut)
 	full := w.onCore >= w.limit
 	w.offCore(r)
@@ -93,9 +96,13 @@
 	if w.set.CrowdMultiple <= 0 {
 		return math.MaxInt32
 	}
-	speed := 1.0
-	if w.set.JustStarted && w.set.WarmWithin > 0 {
-		speed = min(1, w.set.ColdFrom+(1-w.set.ColdFrom)*float64(w.now-w.born)/float64(w.set.WarmWithin))
+	return max(1, crowdRoom*float64(w.set.Cores)*(1+(w.set.CrowdMultiple-1)*w.speed()))
+}
+
+// speed is the least share of their full speed that the settings allow the cores to have now.
+func (w *Worker) speed() float64 {
+	if !w.set.JustStarted || w.set.WarmWithin <= 0 {
+		return 1
 	}
-	return max(1, crowdRoom*float64(w.set.Cores)*(1+(w.set.CrowdMultiple-1)*speed))
+	return min(1, w.set.ColdFrom+(1-w.set.ColdFrom)*float64(max(0, w.now-w.born))/float64(w.set.WarmWithin))
 }
--- a/worker.go
+++ b/worker.go
@@ -80,8 +80,9 @@
 	budget                        float64 // call time of the told span that may be booked
 	calls                         []span  // calls of the told span and those in hand
 	probeAt, spanEnd, callSpan    int64
-	callNext                      int64 // no call before this
-	born, drainAt, stop           int64
+	callNext, callAgain           int64   // no first call before this; none at all
+	callFailed                    bool    // the last call failed
+	born, drainAt, stop, margin   int64   // margin: all is answered this long before the stop
 	replaced                      bool    // another worker has this one's place: stop is no notice to leave
 	besideRuns                    int     // what another worker has on this machine
 	besideKB                      float64 // ... and has booked
