Bursts and idle clients stay within the descriptors; a call that never went out is told so

Once no place is free, half of the places are taken from those that never said a word. The library sends a POST anew only where nothing was written, so that another try resets it. - The model of a connection gains half-close, a bad frame, half a frame and reset.

--- /dev/null
+++ b/cmd/kiteslip/crossings_test.go
@@ -0,0 +1,157 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"kiteslip/internal/faultnet"
+	"kiteslip/internal/frame"
+	"kiteslip/internal/standin"
+	"kiteslip/internal/standin/box"
+	"kiteslip/internal/testfleet"
+)
+
+// lookSite is a site with a read and a keyed class, and room for all.
+const lookSite = `{"classes": [
+  {"name": "look", "effect": "repeatable", "on_time_us": 3000000, "hard_limit_us": 6000000, "worth": 1},
+  {"name": "note", "effect": "by_key", "on_time_us": 3000000, "hard_limit_us": 6000000, "worth": 4, "window_us": 9000000}],
+ "tenants": [{"name": "red", "quota_per_s": 5000}],
+ "family_info": {"cores": 64, "memory_kb": 4000000, "blowup": 4, "key_kb": 8, "idle_us": 60000000, "callers": 4, "gauges": ["cpu_busy", "runnable"]},
+ "rules": {"answer_slack_us": 60000, "drain_grace_us": 2000000}, "goal": {"whole": 1}, "tick_us": 4000, "group_size": 1}`
+
+// lookProgram starts a server that is granted so many sockets, with a link to
+// its engine that can be struck.
+func lookProgram(t *testing.T, sockets int) (*testfleet.Program, *box.Engine, *faultnet.Link) {
+	t.Helper()
+	engine, err := box.Serve(box.Spec{Cores: 64})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(engine.Close)
+	link, err := faultnet.New(engine.Address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(link.Close)
+	p := testfleet.Start(t, testfleet.Spec{Path: os.Args[0], Env: []string{asServer + "=1"}, Name: "n0", Config: map[string]any{
+		"engine": link.Address, "registry": testfleet.Address(t), "stop_ms": 3000, "settings": json.RawMessage(lookSite),
+		"limits": map[string]any{"cores": 1, "memory_mb": 96, "sockets": sockets}}})
+	p.Grant(uint64(sockets))
+	return p, engine, link
+}
+
+// Connections that come in one burst, each with a request, are all let in and
+// answered within the descriptors that are granted.
+func TestBurstWithinDescriptors(t *testing.T) {
+	p, _, _ := lookProgram(t, 256)
+	warm := standin.Dial(t, p.Clients)
+	warm.Send(1, standin.Fields("look", "red", "", 1, 5*time.Second), "1")
+	if got, _ := warm.Next(); got.Code != frame.Served {
+		t.Fatalf("%+v", got)
+	}
+	const callers = 150
+	p.Signal(syscall.SIGSTOP)
+	var all []*standin.Caller
+	for i := range callers {
+		c := standin.Dial(t, p.Clients)
+		c.Send(1, standin.Fields("look", "red", "", uint64(i+2), 5*time.Second), "1")
+		all = append(all, c)
+	}
+	p.Signal(syscall.SIGCONT)
+	lost := 0
+	for _, c := range all {
+		if got, ok := c.Next(); !ok || got.Type != frame.Answer {
+			lost++
+		}
+	}
+	if lost > 0 {
+		t.Errorf("%d of %d requests got no answer", lost, callers)
+	}
+	p.Leave()
+}
+
+// While nobody can be found by the registry, idle clients take every place that
+// they can get, and take it again when they lose it: working callers are let
+// in and served, operators are answered, the engine's link comes back after a
+// break, and the descriptors hold, whether few are granted or many.
+func TestIdleClientsLeaveRoom(t *testing.T) {
+	for _, sockets := range []int{48, 64, 256} {
+		t.Run(fmt.Sprint(sockets), func(t *testing.T) {
+			p, _, link := lookProgram(t, sockets)
+			stop := make(chan struct{})
+			var idlers sync.WaitGroup
+			for range sockets {
+				idlers.Add(1)
+				go func() {
+					defer idlers.Done()
+					for {
+						select {
+						case <-stop:
+							return
+						default:
+						}
+						c, err := net.Dial("tcp", p.Clients)
+						if err != nil {
+							return
+						}
+						done := make(chan struct{})
+						go func() {
+							select {
+							case <-stop:
+								c.Close()
+							case <-done:
+							}
+						}()
+						c.Read(make([]byte, 64)) //nolint:errcheck // until it is closed, by either side
+						close(done)
+						c.Close()
+					}
+				}()
+			}
+			defer func() { close(stop); idlers.Wait() }()
+			most := 0
+			testfleet.Eventually(t, "the places are taken", func() bool {
+				most = max(most, p.Descriptors())
+				return most >= sockets/3
+			})
+			name := uint64(0)
+			ask := func(what string) {
+				for range 2 {
+					name++
+					c := standin.Dial(t, p.Clients)
+					c.Send(1, standin.Fields("look", "red", "", name, 5*time.Second), "1000")
+					for {
+						got, ok := c.Next()
+						if !ok || got.Type == frame.Answer && got.Code != frame.Served {
+							t.Errorf("%s: request %d: %+v", what, name, got)
+						}
+						if !ok || got.Type == frame.Answer {
+							break
+						}
+					}
+					c.Conn.Close()
+					most = max(most, p.Descriptors())
+				}
+			}
+			ask("under idle clients")
+			if got := standin.Ask(t, p.Ops, "ready"); got != "done ready\n" {
+				t.Errorf("the operators' door says %q", got)
+			}
+			link.Break()
+			ask("after a break of the engine's link")
+			if most > sockets {
+				t.Errorf("%d descriptors of %d", most, sockets)
+			}
+			if got := standin.Ask(t, p.Ops, "show-stat"); !strings.Contains(got, "app.") {
+				t.Errorf("the operators' door says %q", got)
+			}
+		})
+	}
+}
--- a/internal/ledger/post.go
+++ b/internal/ledger/post.go
@@ -74,6 +74,8 @@
 
 func (t *trace) hooks() *httptrace.ClientTrace {
 	return &httptrace.ClientTrace{
+		// Another try begins only where nothing was written on the connection before.
+		GetConn: func(string) { t.connected.Store(false) },
 		// From here on bytes may have gone out: the transport writes as soon as it has a connection.
 		GotConn: func(httptrace.GotConnInfo) { t.connected.Store(true) },
 		ConnectDone: func(_, _ string, err error) {
--- a/internal/server/seats.go
+++ b/internal/server/seats.go
@@ -16,6 +16,7 @@
 	awayLinger = 1_000_000 // from GOAWAY to the close by us, once nothing is open
 	settled    = 100_000   // a connection that carries nothing for less than this is never closed for its place
 	freeShare  = 8         // this part of the places is kept free
+	mutePart   = 2         // ... and this part is taken from those that never said a word, once none is free
 	tidyEvery  = 20_000    // between two looks
 	unsentPart = 8         // part of the memory that answers not taken yet may fill
 )
@@ -93,10 +94,15 @@
 // against clients that connect and hold on, until callers are not let in. Those
 // whose end is under way leave their places once nothing can cross any more.
 func (s *Server) makeRoom(t int64) {
-	short := cap(s.slots)/freeShare - (cap(s.slots) - len(s.slots))
+	free := cap(s.slots) - len(s.slots)
+	short := max(1, cap(s.slots)/freeShare) - free
 	if short <= 0 {
 		return
 	}
+	mute := 0 // that many more may go, of those that never said a word: others wait for their places
+	if free == 0 {
+		mute = cap(s.slots)/mutePart - short
+	}
 	type place struct {
 		idle
 		h seat
@@ -112,9 +118,7 @@
 			places = append(places, place{at, h})
 		}
 	}
-	if short -= s.lingering; short <= 0 && len(leaving) == 0 {
-		return // their places come free in a moment
-	}
+	short -= s.lingering // their places come free in a moment
 	for _, h := range leaving {
 		h.hangUp()
 	}
@@ -128,7 +132,7 @@
 		return cmp.Compare(a.since, b.since)
 	})
 	for _, p := range places {
-		if short <= 0 {
+		if short <= 0 && (p.served || short+mute <= 0) {
 			return
 		}
 		p.h.part(t)
--- a/internal/server/session_test.go
+++ b/internal/server/session_test.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"flag"
 	"fmt"
+	"net"
 	"os"
 	"testing"
 	"time"
@@ -42,6 +43,7 @@
 			t.Fatalf("the connection ends; still to come: %v", m.legal)
 		}
 		switch {
+		case got.Type == frame.GoAway:
 		case got.Type == frame.Checked && got.Code == frame.Good:
 			m.checks--
 		default:
@@ -124,8 +126,51 @@
 			},
 		})
 		c.Write(out)
-		m.expect(t, c, cancelled)
+		m.end(t, c, cancelled)
 	})
+	r.eventually(t, "all places are free", func() bool { return r.callers() == 0 && r.lingering == 0 })
+}
+
+// end ends the connection in one of the ways that there are, while answers are
+// still to come: whichever it is costs none of them.
+func (m *model) end(t *rapid.T, c *standin.Caller, cancelled map[uint32]bool) {
+	checks := m.checks
+	switch rapid.SampledFrom([]string{"close", "half-close", "a bad frame", "half a frame", "reset"}).Draw(t, "end") {
+	case "half-close":
+		if err := c.Conn.(*net.TCPConn).CloseWrite(); err != nil {
+			t.Fatal(err)
+		}
+	case "a bad frame":
+		c.Write(frame.AppendHead(nil, 99, 0, 0))
+		m.legal[0], m.body[0] = []byte{frame.Failed}, ""
+	case "half a frame": // with the caller's side ended in it
+		c.Write([]byte{0, 0, 0})
+		if err := c.Conn.(*net.TCPConn).CloseWrite(); err != nil {
+			t.Fatal(err)
+		}
+	case "reset": // nothing is owed then
+		if err := c.Conn.(*net.TCPConn).SetLinger(0); err != nil {
+			t.Fatal(err)
+		}
+		c.Conn.Close()
+		return
+	default:
+		m.expect(t, c, cancelled)
+		return
+	}
+	m.expect(t, c, cancelled)
+	if m.checks > 0 {
+		t.Fatalf("%d of %d checks are not answered", m.checks, checks)
+	}
+	for {
+		got, ok := c.Next()
+		if !ok {
+			return
+		}
+		if got.Type != frame.GoAway && !cancelled[got.Stream] {
+			t.Fatalf("unexpected at the end: %+v", got)
+		}
+	}
 }
 
 // What cannot be told apart any more ends the connection, after an error on stream 0.
--- a/internal/testfleet/testfleet.go
+++ b/internal/testfleet/testfleet.go
@@ -6,6 +6,7 @@
 import (
 	"bufio"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"os"
@@ -16,6 +17,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // patience bounds every wait: far longer than anything takes, so that what does
@@ -201,3 +204,21 @@
 		}
 	}
 }
+
+// Descriptors is how many descriptors the process holds.
+func (p *Program) Descriptors() int {
+	p.t.Helper()
+	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.cmd.Process.Pid))
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	return len(entries)
+}
+
+// Grant holds the process to so many descriptors, as the platform does.
+func (p *Program) Grant(descriptors uint64) {
+	p.t.Helper()
+	if err := unix.Prlimit(p.cmd.Process.Pid, unix.RLIMIT_NOFILE, &unix.Rlimit{Cur: descriptors, Max: descriptors}, nil); err != nil {
+		p.t.Fatal(err)
+	}
+}
