Names of the field in the server: reapIdle, evictIdle, clientConn, shutDown, adminConn, Heartbeat

tidy, makeRoom, seat, leave, door and Beacon before; seats.go, leave.go and door.go are idle.go, shutdown.go and admin.go. No change of behaviour: identifiers, comments and file names alone. Operators' keys (ops) and figures keep their spelling.

--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -6,8 +6,8 @@
 	"net"
 )
 
-// Beacon sends reports. A report gets no answer and may be lost.
-type Beacon struct {
+// Heartbeat sends reports. A report gets no answer and may be lost.
+type Heartbeat struct {
 	conn net.Conn
 	name string
 }
@@ -17,18 +17,18 @@
 // gone, one a second would let a server drop out every minute or so.
 const Interval = 250_000
 
-// Dial returns a Beacon for the server named, to the registry at address.
-func Dial(address, name string) (*Beacon, error) {
+// Dial returns a Heartbeat for the server named, to the registry at address.
+func Dial(address, name string) (*Heartbeat, error) {
 	conn, err := net.Dial("udp", address)
 	if err != nil {
 		return nil, fmt.Errorf("registry: %w", err)
 	}
-	return &Beacon{conn: conn, name: name}, nil
+	return &Heartbeat{conn: conn, name: name}, nil
 }
 
 // Report sends the state: ready, or draining. An error says that the system
 // refused the datagram; the next report may pass.
-func (b *Beacon) Report(draining bool) error {
+func (b *Heartbeat) Report(draining bool) error {
 	state := "ready"
 	if draining {
 		state = "draining"
@@ -41,4 +41,4 @@
 func Datagram(name, state string) []byte { return []byte("BEAT " + name + " " + state) }
 
 // Close frees the socket.
-func (b *Beacon) Close() error { return b.conn.Close() }
+func (b *Heartbeat) Close() error { return b.conn.Close() }
--- a/internal/server/door.go
+++ b/internal/server/admin.go
@@ -10,13 +10,13 @@
 )
 
 const (
-	doorPlaces = 32         // connections at the operators' door, besides those of callers
-	doorLine   = 10_000_000 // for the line to come
-	doorLinger = 1_000_000  // for the caller to close after its answer
+	adminPlaces = 32         // connections at the admin endpoint, besides those of callers
+	adminLine   = 10_000_000 // for the line to come
+	adminLinger = 1_000_000  // for the caller to close after its answer
 )
 
-// door is one connection at the operators' door: a line, an answer, the end.
-type door struct {
+// adminConn is one connection at the admin endpoint: a line, an answer, the end.
+type adminConn struct {
 	s        *Server
 	conn     gnet.Conn
 	openedAt int64
@@ -26,20 +26,20 @@
 	gone     bool
 }
 
-func newDoor(s *Server) *door { return &door{s: s} }
+func newAdminConn(s *Server) *adminConn { return &adminConn{s: s} }
 
 // opened takes the connection in. Guards against callers that hold on: the
 // last place goes to the newcomer, and the one that has waited longest is closed.
-func (d *door) opened(c gnet.Conn) {
+func (d *adminConn) opened(c gnet.Conn) {
 	d.conn = c
 	d.openedAt = now()
-	d.endAt = d.openedAt + doorLine
-	if len(d.s.doorSlots) < cap(d.s.doorSlots) {
+	d.endAt = d.openedAt + adminLine
+	if len(d.s.adminSlots) < cap(d.s.adminSlots) {
 		return
 	}
-	var oldest *door
+	var oldest *adminConn
 	for h := range d.s.sessions {
-		if o, ok := h.(*door); ok && o != d && (oldest == nil || o.answered && !oldest.answered ||
+		if o, ok := h.(*adminConn); ok && o != d && (oldest == nil || o.answered && !oldest.answered ||
 			o.answered == oldest.answered && o.openedAt < oldest.openedAt) {
 			oldest = o
 		}
@@ -49,15 +49,15 @@
 	}
 }
 
-func (d *door) closed() {
+func (d *adminConn) closed() {
 	d.gone = true
-	<-d.s.doorSlots
+	<-d.s.adminSlots
 }
 
 // feed answers a whole line at once, ahead of the round. Guards the answer: a
 // close with bytes unread would make the system reset the connection, so only
 // our side is shut, and what follows the line is passed over.
-func (d *door) feed(b []byte) (int, error) {
+func (d *adminConn) feed(b []byte) (int, error) {
 	if d.answered {
 		return len(b), nil
 	}
@@ -71,7 +71,7 @@
 	} else {
 		answer = d.s.operate(line)
 	}
-	d.answered, d.endAt = true, now()+doorLinger
+	d.answered, d.endAt = true, now()+adminLinger
 	if _, err := d.conn.Write(answer); err == nil {
 		d.settle()
 	}
@@ -79,7 +79,7 @@
 }
 
 // settle shuts our side once the answer has gone out.
-func (d *door) settle() {
+func (d *adminConn) settle() {
 	if d.answered && !d.shut && !d.gone && d.conn.OutboundBuffered() == 0 {
 		d.shut = true
 		if err := unix.Shutdown(d.conn.Fd(), unix.SHUT_WR); err != nil {
@@ -88,11 +88,11 @@
 	}
 }
 
-func (d *door) flush()      {}
-func (d *door) unsent() int { return 0 }
+func (d *adminConn) flush()      {}
+func (d *adminConn) unsent() int { return 0 }
 
 // expire closes what has had its time.
-func (d *door) expire(t int64) {
+func (d *adminConn) expire(t int64) {
 	if t >= d.endAt {
 		hangUp(d.conn)
 		return
--- a/internal/server/door_test.go
+++ b/internal/server/admin_test.go
@@ -18,7 +18,7 @@
 // ask makes a call at the door of r.
 func (r *running) ask(t testing.TB, call string) string {
 	t.Helper()
-	return standin.Ask(t, r.door.Addr().String(), call)
+	return standin.Ask(t, r.admin.Addr().String(), call)
 }
 
 // check asks for the server's health as the platform does.
@@ -43,7 +43,7 @@
 	c := standin.Dial(t, r.frames)
 	expect := func(t *rapid.T, call, want string) {
 		cut := rapid.IntRange(0, len(call)).Draw(t, "cut")
-		if got := standin.Ask(r.test, r.door.Addr().String(), call[:cut], call[cut:]); got != want {
+		if got := standin.Ask(r.test, r.admin.Addr().String(), call[:cut], call[cut:]); got != want {
 			t.Fatalf("%s while withdrawn is %v: %q, want %q", call, withdrawn, got, want)
 		}
 	}
@@ -142,8 +142,8 @@
 	engine := standin.NewEngine(t, standin.Echo(time.Millisecond))
 	r := start(t, engine.Address, "", "")
 	r.eventually(t, "the engine's link", r.link.Ready)
-	for range 3 * doorPlaces {
-		c, err := net.Dial("tcp", r.door.Addr().String())
+	for range 3 * adminPlaces {
+		c, err := net.Dial("tcp", r.admin.Addr().String())
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/server/closing.go
+++ b/internal/server/closing.go
@@ -31,8 +31,8 @@
 // end is the closing itself, for what ends connections of any front.
 func (c *closing) end() *closing { return c }
 
-// seat is a caller's connection, which holds one of the places.
-type seat interface {
+// clientConn is a caller's connection, which holds one of the places.
+type clientConn interface {
 	handler
 	idle() idle      // what it says of itself when places are short
 	end() *closing   // how far its end has come
@@ -42,7 +42,7 @@
 }
 
 // shut ends our side of a connection on which nothing is owed.
-func (s *Server) shut(h seat, t, within int64) {
+func (s *Server) shut(h clientConn, t, within int64) {
 	e := h.end()
 	if e.shutAt != 0 {
 		return
@@ -75,10 +75,10 @@
 	return longest
 }
 
-// seats lists the callers' connections.
-func (s *Server) seats(yield func(seat) bool) {
+// clients lists the callers' connections.
+func (s *Server) clients(yield func(clientConn) bool) {
 	for h := range s.sessions {
-		if p, ok := h.(seat); ok && !yield(p) {
+		if p, ok := h.(clientConn); ok && !yield(p) {
 			return
 		}
 	}
--- a/internal/server/crossings_test.go
+++ b/internal/server/crossings_test.go
@@ -158,8 +158,8 @@
 			time.Sleep(time.Millisecond)
 		}
 		s.awayAt, s.usedAt = now()-2*awayLinger, now()-2*awayLinger
-		r.tidyAt = 0
-		r.tidy(now())
+		r.reapAt = 0
+		r.reapIdle(now())
 	})
 	if served, _, _, _ := count(rest(c)); served != 1 {
 		t.Errorf("%d of 1 served", served)
@@ -183,8 +183,8 @@
 	r.eventually(t, "it is answered", func() bool { return s.served && len(s.open) == 0 && s.unsent() == 0 })
 	r.look(func() {
 		s.away, s.awayAt, s.usedAt = true, now()-2*awayLinger, now()-2*awayLinger
-		r.tidyAt = 0
-		r.tidy(now())
+		r.reapAt = 0
+		r.reapIdle(now())
 		conn.Write(frame.AppendRequest(nil, 2, standin.Fields("look", "red", "", 2, 3*time.Second), []byte("crosses"))) //nolint:errcheck // it crosses
 		for i := 0; i < 100 && s.conn != nil && !s.gone && !unread(s.conn); i++ {
 			time.Sleep(time.Millisecond)
@@ -386,7 +386,7 @@
 			cfg.Limits.Sockets = sockets
 			change(cfg)
 			p := PlacesOf(cfg)
-			sum := p.Own + p.Door + p.Ledger + enterDescriptors*p.Backends + p.Descriptors
+			sum := p.Own + p.Admin + p.Ledger + enterDescriptors*p.Backends + p.Descriptors
 			if sockets >= 64 && sum > sockets || p.Callers < callersLeast || p.Callers > p.Descriptors {
 				t.Errorf("%d sockets: %+v, %d in all", sockets, p, sum)
 			}
@@ -431,7 +431,7 @@
 	for left, rounds := false, 0; rounds < 20; {
 		if !old.alive(func() {
 			if left = old.stopAt != 0; left {
-				old.leave(now() + 10*lingerClose)
+				old.shutDown(now() + 10*lingerClose)
 				rounds++
 			}
 		}) {
--- a/internal/server/seats.go
+++ b/internal/server/idle.go
@@ -17,7 +17,7 @@
 	settled    = 100_000   // a connection that carries nothing for less than this is never closed for its place
 	freeShare  = 8         // this part of the places is kept free
 	mutePart   = 2         // ... and this part is taken from those that never said a word, once none is free
-	tidyEvery  = 20_000    // between two looks
+	reapEvery  = 20_000    // between two looks
 	unsentPart = 8         // part of the memory that answers not taken yet may fill
 )
 
@@ -32,12 +32,12 @@
 	served bool  // it was given an answer before
 }
 
-// tidy closes connections that hold a place, memory or a caller's hope for nothing.
-func (s *Server) tidy(t int64) {
-	if t < s.tidyAt {
+// reapIdle closes connections that hold a place, memory or a caller's hope for nothing.
+func (s *Server) reapIdle(t int64) {
+	if t < s.reapAt {
 		return
 	}
-	s.tidyAt = t + tidyEvery
+	s.reapAt = t + reapEvery
 	after := s.core.IdleAfter()
 	if after == 0 {
 		after = s.cfg.Module.IdleAfter
@@ -86,14 +86,14 @@
 	if unsent > s.cfg.Limits.MemoryMB<<20/unsentPart {
 		s.closeSlowest()
 	}
-	s.makeRoom(t)
+	s.evictIdle(t)
 }
 
-// makeRoom ends idle connections until a part of the places is free: first
+// evictIdle ends idle connections until a part of the places is free: first
 // those that never brought a thing, then those idle for longest. Guards
 // against clients that connect and hold on, until callers are not let in. Those
 // whose end is under way leave their places once nothing can cross any more.
-func (s *Server) makeRoom(t int64) {
+func (s *Server) evictIdle(t int64) {
 	free := cap(s.slots) - len(s.slots)
 	short := max(1, cap(s.slots)/freeShare) - free
 	if short <= 0 {
@@ -105,11 +105,11 @@
 	}
 	type place struct {
 		idle
-		h seat
+		h clientConn
 	}
 	var places []place
-	var leaving []seat
-	for h := range s.seats {
+	var leaving []clientConn
+	for h := range s.clients {
 		if e := h.end(); e.shutAt != 0 {
 			if t-e.shutAt >= crossing {
 				leaving = append(leaving, h)
@@ -144,8 +144,8 @@
 
 // closeSlowest closes the caller's connection that most answers wait for.
 func (s *Server) closeSlowest() {
-	var slowest seat
-	for h := range s.seats {
+	var slowest clientConn
+	for h := range s.clients {
 		if slowest == nil || h.unsent() > slowest.unsent() {
 			slowest = h
 		}
--- a/internal/server/listeners.go
+++ b/internal/server/listeners.go
@@ -15,7 +15,7 @@
 	net.Listener
 	session func() handler
 	slots   chan struct{}
-	door    bool // it is the operators', whose connections are handed over one by one
+	admin   bool // it is the operators', whose connections are handed over one by one
 }
 
 // Listen opens the listeners, which Serve does otherwise.
@@ -53,7 +53,7 @@
 			s.unlisten()
 			return fmt.Errorf("ops: %w", err)
 		}
-		s.door = &front{Listener: l, session: func() handler { return newDoor(s) }, slots: s.doorSlots, door: true}
+		s.admin = &front{Listener: l, session: func() handler { return newAdminConn(s) }, slots: s.adminSlots, admin: true}
 	}
 	return nil
 }
@@ -100,7 +100,7 @@
 // docs/design/door.md.
 func (s *Server) accept(l front) {
 	defer s.onLoop(func() {
-		if !l.door {
+		if !l.admin {
 			s.accepting--
 		}
 		s.schedule()
@@ -108,7 +108,7 @@
 	defer l.Close()
 	warned := time.Time{}
 	for s.takeSlot(l) {
-		if s.stopping.Load() && !l.door {
+		if s.stopping.Load() && !l.admin {
 			if queue, ok := l.Listener.(interface{ SetDeadline(time.Time) error }); ok {
 				queue.SetDeadline(time.Now().Add(lastLook)) //nolint:errcheck // then the listener is closed already
 			}
@@ -116,7 +116,7 @@
 		c, err := l.Accept()
 		if err == nil {
 			s.entering.Add(1)
-			if l.door {
+			if l.admin {
 				s.enter(c, l)
 			} else {
 				go s.enter(c, l)
@@ -154,7 +154,7 @@
 	case <-s.ended:
 		return false
 	}
-	if l.door {
+	if l.admin {
 		return true
 	}
 	if s.descriptors.Acquire(s.life, enterDescriptors) != nil {
@@ -166,7 +166,7 @@
 
 // freeSlot gives back what takeSlot took, where no connection came of it.
 func (s *Server) freeSlot(l front) {
-	if !l.door {
+	if !l.admin {
 		s.descriptors.Release(enterDescriptors)
 	}
 	<-l.slots
@@ -186,7 +186,7 @@
 		s.log.Warn("accept", zap.Error(err))
 		return
 	}
-	if !l.door {
+	if !l.admin {
 		s.descriptors.Release(enterDescriptors - 1)
 	}
 }
--- a/internal/server/places.go
+++ b/internal/server/places.go
@@ -8,7 +8,7 @@
 // callers, however many come and stay, never take what the server itself needs.
 type Places struct {
 	Own         int // the loop, the engine's link and its search, the registry, listeners, files
-	Door        int // operators' connections
+	Admin       int // operators' connections
 	Ledger      int // connections to the ledger
 	Backends    int // calls of uwsgi servers at once
 	Descriptors int // that callers' connections may take, those that are entering twice
@@ -19,7 +19,7 @@
 	ownDescriptors     = 24 // measured: 15 at rest, 19 while a link is sought beside one in use
 	meetingDescriptors = 8  // an upgrade's meeting place, its lock and links
 	keyDescriptors     = 64 // the store of keys: its lock, logs and tables
-	doorShare          = 8  // the part of the descriptors that the operators' door may take
+	adminShare         = 8  // the part of the descriptors that the admin endpoint may take
 	ledgerShare        = 8  // ... that connections to the ledger may take
 	ledgerMost         = 64
 	backendShare       = 4  // the part of what is left that calls of uwsgi servers may take
@@ -38,9 +38,9 @@
 		p.Own += min(keyDescriptors, cfg.Limits.Sockets/4)
 	}
 	if cfg.Ops != "" {
-		p.Door = max(1, min(doorPlaces, cfg.Limits.Sockets/doorShare))
+		p.Admin = max(1, min(adminPlaces, cfg.Limits.Sockets/adminShare))
 	}
-	rest := cfg.Limits.Sockets - p.Own - p.Door - p.Ledger
+	rest := cfg.Limits.Sockets - p.Own - p.Admin - p.Ledger
 	if uses(cfg.Backends) {
 		// One that is being handed to the loop has two for a moment.
 		p.Backends = max(1, rest/backendShare/enterDescriptors)
--- a/internal/server/reload.go
+++ b/internal/server/reload.go
@@ -120,9 +120,9 @@
 // beside the loop: its address may be a name that is slow to be looked up, or
 // cannot be reached for now. Nothing waits for it, and report tries again.
 func (s *Server) reregister() {
-	if s.beacon != nil {
-		s.beacon.Close()
-		s.beacon = nil
+	if s.heartbeat != nil {
+		s.heartbeat.Close()
+		s.heartbeat = nil
 	}
 	s.registering++
 	at := s.registering
@@ -132,12 +132,12 @@
 	address, name := s.cfg.Registry, s.cfg.Name
 	s.seeking = true
 	go func() {
-		beacon, err := registry.Dial(address, name)
+		heartbeat, err := registry.Dial(address, name)
 		s.onLoop(func() {
 			switch {
 			case at != s.registering: // it has moved meanwhile
 				if err == nil {
-					beacon.Close()
+					heartbeat.Close()
 				}
 				return
 			case err != nil:
@@ -145,7 +145,7 @@
 				s.log.Warn("registry", zap.Error(err))
 				return
 			}
-			s.seeking, s.beacon, s.reportAt = false, beacon, 0
+			s.seeking, s.heartbeat, s.reportAt = false, heartbeat, 0
 			s.schedule()
 		})
 	}()
--- a/internal/server/round.go
+++ b/internal/server/round.go
@@ -43,9 +43,9 @@
 	s.core.Step(t)
 	s.flush()
 	s.expire(t)
-	s.tidy(t)
+	s.reapIdle(t)
 	s.tend(t)
-	s.leave(t)
+	s.shutDown(t)
 	s.report(t)
 	s.arm()
 	runtime.Gosched() // what is ready beside the loop (connections to hand over) runs once a round
@@ -91,11 +91,11 @@
 				s.Tested(tag, false)
 			}
 		}
-		if s.beacon == nil && !s.seeking && t >= s.seekAt && s.cfg.Registry != "" {
+		if s.heartbeat == nil && !s.seeking && t >= s.seekAt && s.cfg.Registry != "" {
 			s.reregister()
 		}
-		if s.beacon != nil {
-			if err := s.beacon.Report(s.leavesList()); err != nil {
+		if s.heartbeat != nil {
+			if err := s.heartbeat.Report(s.leavesList()); err != nil {
 				s.log.Debug("registry", zap.Error(err))
 			}
 		}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -49,13 +49,13 @@
 // Server is one real server.
 type Server struct {
 	gnet.BuiltinEventEngine
-	cfg    *config.Config
-	log    *zap.Logger
-	core   *core.Core
-	link   *engine.Link
-	beacon *registry.Beacon
-	engine *engineConn  // the link in use; nil while there is none
-	dials  atomic.Int64 // numbers the searches for the engine; only the latest counts
+	cfg       *config.Config
+	log       *zap.Logger
+	core      *core.Core
+	link      *engine.Link
+	heartbeat *registry.Heartbeat
+	engine    *engineConn  // the link in use; nil while there is none
+	dials     atomic.Int64 // numbers the searches for the engine; only the latest counts
 
 	dialedAt atomic.Int64 // when it was last tried to reach the engine
 	goneAt   int64        // when it was last logged that the link is gone
@@ -79,8 +79,8 @@
 	life        context.Context     // of the run
 	ended       <-chan struct{}     // closed with it
 	end         context.CancelFunc
-	door        *front        // for operators; nil = not set up
-	doorSlots   chan struct{} // the places there
+	admin       *front        // for operators; nil = not set up
+	adminSlots  chan struct{} // the places there
 	sessions    map[handler]struct{}
 	buffered    int // bytes of half-read frames, over all connections
 
@@ -114,7 +114,7 @@
 	webs     int    // open connections of the uwsgi front
 	webID    uint64 // names the requests of the uwsgi front
 	expireAt int64
-	tidyAt   int64
+	reapAt   int64
 
 	health  func() (good, stored bool)
 	checks  map[string]check // deep health checks that wait for the engine, by tag
@@ -136,7 +136,7 @@
 	p := PlacesOf(cfg)
 	s.below.ends, s.below.places = map[ledger.End]int{}, p.Ledger
 	s.calls = p.Backends
-	s.slots, s.doorSlots = make(chan struct{}, p.Callers), make(chan struct{}, p.Door)
+	s.slots, s.adminSlots = make(chan struct{}, p.Callers), make(chan struct{}, p.Admin)
 	s.descriptors = semaphore.NewWeighted(int64(p.Descriptors))
 	s.link = engine.NewLink(s, now)
 	s.name()
@@ -166,8 +166,8 @@
 	defer func() {
 		s.end()
 		s.client.Stop() //nolint:errcheck // nothing is left to be done about it
-		if s.beacon != nil {
-			s.beacon.Close()
+		if s.heartbeat != nil {
+			s.heartbeat.Close()
 		}
 	}()
 	if err = s.findLoop(); err != nil {
@@ -189,9 +189,9 @@
 	s.onLoop(s.begin)
 	close(s.up)
 	s.onLoop(s.reach)
-	if s.door != nil {
-		defer s.door.Close()
-		go s.accept(*s.door)
+	if s.admin != nil {
+		defer s.admin.Close()
+		go s.accept(*s.admin)
 	}
 	go s.reloads(signals.Reload)
 	for {
@@ -240,7 +240,7 @@
 		s.sessions[h] = struct{}{}
 		h.opened(c)
 		if len(s.slots) >= cap(s.slots)-cap(s.slots)/freeShare {
-			s.schedule() // for makeRoom
+			s.schedule() // for evictIdle
 		}
 	}
 	return nil, gnet.None
--- a/internal/server/leave.go
+++ b/internal/server/shutdown.go
@@ -52,7 +52,7 @@
 	s.round()
 }
 
-// leave ends the process in steps: at first requests still come and are
+// shutDown ends the process in steps: at first requests still come and are
 // answered, since callers learn late of the drain. Then callers are told to
 // go, and what still comes is refused with advice to stay away; a listener that
 // is closed would tell them nothing. Then the listeners close, once what waits
@@ -60,7 +60,7 @@
 // of every connection is shut, what crosses that is read and passed over, and
 // the process ends when all callers have closed theirs or can send nothing more
 // that crosses. Whatever is still owed shortly before the stop is answered then.
-func (s *Server) leave(t int64) {
+func (s *Server) shutDown(t int64) {
 	if s.stopAt == 0 || t < s.awayAt {
 		return
 	}
@@ -91,7 +91,7 @@
 		return
 	}
 	open := 0
-	for h := range s.seats {
+	for h := range s.clients {
 		if h.end().shutAt == 0 {
 			h.part(t)
 		}
@@ -110,7 +110,7 @@
 
 // parted says whether our side of every caller's connection is shut.
 func (s *Server) parted() bool {
-	for h := range s.seats {
+	for h := range s.clients {
 		if h.end().shutAt == 0 {
 			return false
 		}
