A link to the engine that goes quiet ends after the longest deadline; the queue is looked at twice

- What the far system does not acknowledge for as long as any request may last ends the link (TCP_USER_TIMEOUT): a link dropped without a reset was kept for a quarter of an hour, and each request on it failed.
TestEngineLinkGoesQuiet: no other link within 10 s without the option.
- The accept that waits 10 ms at the end of listening can find its time passed before it looked, on a core shared by many: the queue is then looked at by poll before the close.

--- a/internal/server/closing.go
+++ b/internal/server/closing.go
@@ -68,6 +68,11 @@
 	if s.away {
 		return lingerClose
 	}
+	return s.longest()
+}
+
+// longest is how long any request may last at most.
+func (s *Server) longest() int64 {
 	longest := int64(lingerClose)
 	for i := range s.cfg.Module.Classes {
 		longest = max(longest, s.cfg.Module.Classes[i].Limit)
--- a/internal/server/crossings_test.go
+++ b/internal/server/crossings_test.go
@@ -555,3 +555,64 @@
 		}
 	})
 }
+
+// A link to the engine that goes quiet without a word, its bytes not taken any
+// more, is given up and sought anew; requests are served again.
+func TestEngineLinkGoesQuiet(t *testing.T) {
+	t.Parallel()
+	engine := standin.NewEngine(t, standin.Echo(time.Millisecond))
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	quiet := make(chan struct{})
+	go func() { // the first link is read up to its HELLO, and never again; the next ones are passed on
+		for n := 0; ; n++ {
+			near, err := l.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { near.Close() })
+			if n == 0 {
+				near.(*net.TCPConn).SetReadBuffer(1)           //nolint:errcheck // the smallest that there is
+				bufio.NewReaderSize(near, 16).ReadString('\n') //nolint:errcheck // the ATTACH
+				io.WriteString(near, "HELLO hot 60000\r\nSTATS fence 0 0 0 0\r\n")
+				close(quiet)
+				continue
+			}
+			far, err := net.Dial("tcp", engine.Address)
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { far.Close() })
+			go io.Copy(far, near) //nolint:errcheck // until either ends
+			go io.Copy(near, far) //nolint:errcheck // until either ends
+		}
+	}()
+	cfg := platform(t, l.Addr().String(), "")
+	for i := range cfg.Module.Classes {
+		cfg.Module.Classes[i].Limit = 1_000_000
+	}
+	r := launch(t, cfg)
+	<-quiet
+	r.eventually(t, "the link", r.link.Ready)
+	// Fills what the two systems hold for the link, so that nothing more is taken.
+	filler := make([]byte, 1<<20)
+	for i := range filler {
+		filler[i] = ' '
+	}
+	r.look(func() {
+		for range 8 {
+			r.engine.send(filler)
+		}
+		r.engine.flush()
+	})
+	first := r.engine
+	r.eventually(t, "another link", func() bool { return r.engine != nil && r.engine != first && r.link.Ready() })
+	c := standin.Dial(t, r.frames)
+	c.Send(1, standin.Fields("look", "red", "", 1, time.Second), "b")
+	if got, _ := c.Next(); got.Code != frame.Served {
+		t.Errorf("%+v", got)
+	}
+}
--- a/internal/server/engine.go
+++ b/internal/server/engine.go
@@ -8,6 +8,7 @@
 
 	"github.com/panjf2000/gnet/v2"
 	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
 
 	"kiteslip"
 	"kiteslip/internal/core"
@@ -103,6 +104,9 @@
 // engine no longer minds. What that one still had to say is said again here.
 func (e *engineConn) opened(c gnet.Conn) {
 	e.conn = c
+	// Guards against a link that goes quiet without a word: what the other end's system has not acknowledged for as
+	// long as any request may last ends it. Not every system has this; without it the link is as before.
+	unix.SetsockoptInt(c.Fd(), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(e.s.longest()/1000)) //nolint:errcheck // see above
 	if e.search != e.s.dials.Load() {
 		e.s.onLoop(e.hangUp) // the engine has moved meanwhile
 		return
--- a/internal/server/listeners.go
+++ b/internal/server/listeners.go
@@ -5,9 +5,11 @@
 	"fmt"
 	"net"
 	"os"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
 )
 
 // front is a listener, what its connections speak, and the places for them.
@@ -125,9 +127,13 @@
 		}
 		s.freeSlot(l)
 		switch {
-		case errors.Is(err, net.ErrClosed) || s.stopping.Load() && errors.Is(err, os.ErrDeadlineExceeded):
+		case errors.Is(err, net.ErrClosed):
 			return
 		case errors.Is(err, os.ErrDeadlineExceeded):
+			// Guards the queue on a busy machine: the time may have passed before it was looked at.
+			if s.stopping.Load() && !queued(l.Listener) {
+				return
+			}
 			continue
 		}
 		// Most likely the system is out of descriptors. Guards the processor and the log against a loop that fails at once.
@@ -143,6 +149,23 @@
 	}
 }
 
+// queued says whether the system has a connection that waits to be accepted.
+func queued(l net.Listener) bool {
+	c, ok := l.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false
+	}
+	n := 0
+	err = raw.Control(func(fd uintptr) {
+		n, _ = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
+	})
+	return err == nil && n > 0
+}
+
 // A connection that is being handed to the loop has two descriptors for a moment.
 const enterDescriptors = 2
 
