No connection is reset between the last look at a listener's queue and its close

TestMixedLoadDuringDrain failed once in 20 (connect: connection reset by peer): a connection that completed in that moment.

--- a/internal/server/listeners.go
+++ b/internal/server/listeners.go
@@ -108,7 +108,7 @@
 		s.schedule()
 	})
 	defer l.Close()
-	warned := time.Time{}
+	warned, off := time.Time{}, false
 	for s.takeSlot(l) {
 		if s.stopping.Load() && !l.admin {
 			if queue, ok := l.Listener.(interface{ SetDeadline(time.Time) error }); ok {
@@ -131,9 +131,13 @@
 			return
 		case errors.Is(err, os.ErrDeadlineExceeded):
 			// Guards the queue on a busy machine: the time may have passed before it was looked at.
-			if s.stopping.Load() && !queued(l.Listener) {
+			if !s.stopping.Load() || queued(l.Listener) {
+				continue
+			}
+			if off || !turnOff(l.Listener) || !queued(l.Listener) {
 				return
 			}
+			off = true // what has come in between is the last
 			continue
 		}
 		// Most likely the system is out of descriptors. Guards the processor and the log against a loop that fails at once.
@@ -149,6 +153,27 @@
 	}
 }
 
+// turnOff has the system pass over what would open a connection, so that none
+// comes between the last look at the queue and the close: its caller tries again
+// and is refused. false = the system does not.
+func turnOff(l net.Listener) bool {
+	c, ok := l.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false
+	}
+	nothing := []unix.SockFilter{{Code: unix.BPF_RET | unix.BPF_K, K: 0}}
+	var set error
+	err = raw.Control(func(fd uintptr) {
+		set = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER,
+			&unix.SockFprog{Len: uint16(len(nothing)), Filter: &nothing[0]})
+	})
+	return err == nil && set == nil
+}
+
 // queued says whether the system has a connection that waits to be accepted.
 func queued(l net.Listener) bool {
 	c, ok := l.(syscall.Conn)
