Reports outlive their socket; the model of the engine's link gains spoilt notices

A heartbeat whose socket fails for good (its route or address has gone) was never opened anew: the registry drops such a server after 3 s. Four reports in a row that the system turned away open another; a registry that is down turns away every second one alone. TestReportsOutliveTheirSocket fails without it (no report within 3 s).

--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -31,6 +31,7 @@
 	asked   []*core.Request // calls whose reply is still to be given
 	paused  map[string]bool
 	strays  []string
+	spoilt  int // notices that cannot be read, each of which ends one link
 }
 
 func (p *peer) Hello(bool, int64)   {}
@@ -136,7 +137,16 @@
 }
 
 func (p *peer) deliver(n int) {
-	p.pending = p.pending[p.feed(p.pending[:n]):]
+	used, err := p.link.Feed(p.pending[:n])
+	switch {
+	case err != nil && p.spoilt == 0:
+		p.t.Fatalf("%v", err)
+	case err != nil: // the server ends a link that brings what cannot be read
+		p.spoilt--
+		p.cut()
+	default:
+		p.pending = p.pending[used:]
+	}
 }
 
 func (p *peer) feed(b []byte) int {
@@ -147,6 +157,20 @@
 	return used
 }
 
+// cut ends the link, with all that is under way on it.
+func (p *peer) cut() {
+	p.up, p.unread, p.pending = false, nil, nil
+	p.link.Lost()
+}
+
+// spoil ends a run with a notice that cannot be read but for its number.
+func (p *peer) spoil(id string) {
+	delete(p.live, id)
+	p.spoilt++
+	p.notices = append(p.notices, fmt.Sprintf("DONE %d %s complete 12.5 99999999\r\n", len(p.notices)+1, id))
+	p.tell(p.notices[len(p.notices)-1])
+}
+
 func (p *peer) attach() {
 	p.up = true
 	p.link.Attach(p.send)
@@ -154,13 +178,13 @@
 
 // settle brings all under way to its end, with the link up.
 func (p *peer) settle() {
-	if !p.up {
-		p.attach()
-	}
-	for n := 0; len(p.unread) > 0 || len(p.pending) > 0 || len(p.live) > len(p.paused) || len(p.asked) > 0; n++ {
+	for n := 0; !p.up || len(p.unread) > 0 || len(p.pending) > 0 || len(p.live) > len(p.paused) || len(p.asked) > 0; n++ {
 		if n > 10_000 {
 			p.t.Fatalf("it does not settle: runs %v, at calls %v", p.live, p.stands)
 		}
+		if !p.up {
+			p.attach()
+		}
 		for len(p.unread) > 0 {
 			p.read()
 		}
@@ -221,6 +245,14 @@
 					}
 				}
 			},
+			"spoil": func(t *rapid.T) {
+				for _, r := range p.sent {
+					if p.live[r.Name] && p.stands[r.Name] == 0 && p.now-began[r.Name] >= shortest {
+						p.spoil(r.Name)
+						return
+					}
+				}
+			},
 			"need": func(t *rapid.T) {
 				for _, r := range p.sent {
 					if p.live[r.Name] && !p.needed[r.Name] {
@@ -238,8 +270,7 @@
 			"pass":    func(t *rapid.T) { p.now += rapid.Int64Range(1, 60_000).Draw(t, "span") },
 			"cut": func(t *rapid.T) {
 				if p.up {
-					p.up, p.unread, p.pending = false, nil, nil
-					p.link.Lost()
+					p.cut()
 				}
 			},
 			"attach": func(t *rapid.T) {
@@ -251,6 +282,9 @@
 		p.settle()
 		p.now += 100_000_000
 		p.link.Expire()
+		if p.spoilt != 0 {
+			t.Fatalf("%d spoilt notices ended no link, or more than one", p.spoilt)
+		}
 		for _, r := range p.sent {
 			if r.Class == 1 && p.started[r.Name] > 1 {
 				t.Fatalf("keyed %s is started %d times", r.Name, p.started[r.Name])
--- a/internal/server/crossings_test.go
+++ b/internal/server/crossings_test.go
@@ -616,3 +616,29 @@
 		t.Errorf("%+v", got)
 	}
 }
+
+// The socket of the reports becomes of no use while the process serves: another
+// one is opened, and the reports go on before the registry drops the server.
+func TestReportsOutliveTheirSocket(t *testing.T) {
+	t.Parallel()
+	engine := standin.NewEngine(t, standin.Echo(time.Millisecond))
+	registry, reports := standin.NewRegistry(t)
+	r := start(t, engine.Address, registry, "")
+	<-reports
+	r.look(func() {
+		if err := r.heartbeat.Close(); err != nil {
+			t.Error(err)
+		}
+	})
+	for len(reports) > 0 {
+		<-reports
+	}
+	select {
+	case got := <-reports:
+		if got != "BEAT t ready" {
+			t.Errorf("report %q", got)
+		}
+	case <-time.After(3 * time.Second): // then the registry drops the server
+		t.Error("no report within 3 s")
+	}
+}
--- a/internal/server/round.go
+++ b/internal/server/round.go
@@ -95,8 +95,16 @@
 			s.reregister()
 		}
 		if s.heartbeat != nil {
-			if err := s.heartbeat.Report(s.leavesList()); err != nil {
+			// Guards against a socket that has become of no use, as its route or its address has: a registry that is
+			// down turns every second report away, and that many in a row are no registry's doing.
+			if err := s.heartbeat.Report(s.leavesList()); err == nil {
+				s.unheard = 0
+			} else if s.unheard++; s.unheard < unheardMost {
 				s.log.Debug("registry", zap.Error(err))
+			} else {
+				s.log.Warn("registry", zap.Error(err))
+				s.unheard = 0
+				s.reregister()
 			}
 		}
 	}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -35,6 +35,7 @@
 	iovMost     = 512       // slices of one gathered write, under the system's 1,024
 	redial      = 50_000    // between tries to reach the engine
 	seekEvery   = 1_000_000 // between tries to reach the registry
+	unheardMost = 4         // reports in a row that the system turns away before the registry is sought anew
 	goneEvery   = 1_000_000 // between two lines in the log that the engine\'s link is gone
 	dialMost    = time.Second
 	gaugeEvery  = 10_000     // between two questions for the gauges while requests are in hand
@@ -94,6 +95,7 @@
 	registering int   // numbers the searches for the registry; only the latest counts
 	seeking     bool  // one is under way
 	seekAt      int64 // not before this
+	unheard     int   // reports in a row that the system has turned away
 
 	logAt int64
 	leaving
