A connection that is to end has a time for what is owed, also where its caller takes nothing

Found in reading the new way to close: a connection told to end waited for bytes that its caller never takes, for ever, and held its place. What is owed has the longest wait that a caller may state, and the time to linger; then it is closed. TestEndOfACallerThatTakesNothing fails without it (a bad frame, an ended side, idle).

--- a/internal/core/arrivals.go
+++ b/internal/core/arrivals.go
@@ -9,10 +9,10 @@
 )
 
 // stampAhead is how far a caller's clock may be ahead of this one, and
-// patienceMost how many times the class's deadline a caller may say it waits.
+// PatienceMost how many times the class's deadline a caller may say it waits.
 const (
 	stampAhead   = 5_000_000
-	patienceMost = 2
+	PatienceMost = 2
 )
 
 // Arrive takes in a request that was read at now; it may be answered before
@@ -34,7 +34,7 @@
 		return turnedDown("key_absent", "a request of a keyed class has no key")
 	case r.Arrived > now+stampAhead:
 		return turnedDown("stamp_ahead", "the stamp lies %d ms ahead of the clock", (r.Arrived-now)/1000)
-	case r.Due-r.Arrived > patienceMost*class.Limit:
+	case r.Due-r.Arrived > PatienceMost*class.Limit:
 		return turnedDown("wait_too_long", "a wait of %d ms, where clients wait %d", (r.Due-r.Arrived)/1000, class.Limit/1000)
 	case r.Due <= now:
 		c.tooLate(r)
--- a/internal/server/closing.go
+++ b/internal/server/closing.go
@@ -3,6 +3,8 @@
 import (
 	"github.com/panjf2000/gnet/v2"
 	"golang.org/x/sys/unix"
+
+	"kiteslip/internal/core"
 )
 
 // How callers' connections end, on both fronts: nothing more is taken, what is
@@ -24,6 +26,7 @@
 // closing is how far the end of a connection has come.
 type closing struct {
 	deaf   bool  // what still comes is passed over
+	endBy  int64 // it is closed then, where the caller does not take what is owed; 0 = see the front's own times
 	shutAt int64 // our side is shut since then; 0 = it is open
 	until  int64 // the connection is closed then, whatever the caller does
 }
@@ -71,6 +74,10 @@
 	return s.longest()
 }
 
+// owing is how long what is owed on a connection may take to go out: callers may
+// say that they wait for a multiple of their class's time.
+func (s *Server) owing() int64 { return core.PatienceMost*s.longest() + s.linger() }
+
 // longest is how long any request may last at most.
 func (s *Server) longest() int64 {
 	longest := int64(lingerClose)
--- a/internal/server/crossings_test.go
+++ b/internal/server/crossings_test.go
@@ -642,3 +642,40 @@
 		t.Error("no report within 3 s")
 	}
 }
+
+// A connection that is to end while its caller takes nothing more ends all the
+// same: what is owed on it has a time to go out.
+func TestEndOfACallerThatTakesNothing(t *testing.T) {
+	t.Parallel()
+	engine := standin.NewEngine(t, standin.Echo(time.Millisecond))
+	cfg := platform(t, engine.Address, "")
+	for i := range cfg.Module.Classes {
+		cfg.Module.Classes[i].Limit = 200_000
+	}
+	r := launch(t, cfg)
+	result := make([]byte, frame.MaxResult)
+	for _, how := range []string{"a bad frame", "its side ended", "idle"} {
+		conn, err := net.Dial("tcp", r.frames)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close() // it never reads
+		s := r.session(t)
+		r.look(func() {
+			for s.unsent() == 0 && !s.gone {
+				s.put(frame.Answer, 0, frame.Failed, nil, result)
+				s.flush()
+			}
+			if how == "idle" {
+				s.part(now())
+			}
+		})
+		switch how {
+		case "a bad frame":
+			conn.Write(frame.AppendHead(nil, 99, 0, 0)) //nolint:errcheck // seen below
+		case "its side ended":
+			conn.(*net.TCPConn).CloseWrite() //nolint:errcheck // seen below
+		}
+		r.eventually(t, how+": it ends", func() bool { return s.gone && r.callers() == 0 })
+	}
+}
--- a/internal/server/half.go
+++ b/internal/server/half.go
@@ -83,7 +83,7 @@
 		h.close()
 		return false
 	}
-	f.half, f.deaf = h, true
+	f.half, f.deaf, f.endBy = h, true, now()+f.s.owing()
 	f.s.buffered -= f.held
 	f.held, f.partAt = 0, 0
 	f.goAway()
--- a/internal/server/idle.go
+++ b/internal/server/idle.go
@@ -67,6 +67,8 @@
 			}
 		case f.half != nil && f.half.push() != nil:
 			f.hangUp()
+		case f.deaf && t >= f.endBy:
+			f.hangUp() // it does not take what is owed
 		case f.deaf:
 			f.settle(t)
 		case f.partAt != 0 && t-f.partAt >= within:
--- a/internal/server/session.go
+++ b/internal/server/session.go
@@ -185,7 +185,7 @@
 // quit takes nothing more, after an error on stream 0.
 func (f *session) quit(why error) {
 	f.fault(0, why)
-	f.deaf = true
+	f.deaf, f.endBy = true, now()+f.s.owing()
 	f.s.buffered -= f.held
 	f.held, f.partAt = 0, 0
 }
@@ -196,7 +196,9 @@
 		return // taken in first
 	}
 	f.goAway()
-	f.deaf = true
+	if !f.deaf {
+		f.deaf, f.endBy = true, t+f.s.linger()
+	}
 	f.flush()
 	f.settle(t)
 }
