--- a/internal/server/crossings_test.go
+++ b/internal/server/crossings_test.go
@@ -679,3 +679,60 @@
 		r.eventually(t, how+": it ends", func() bool { return s.gone && r.callers() == 0 })
 	}
 }
+
+// The notice comes while a file is being read that does not come to its end: the
+// drain begins and ends without it.
+func TestNoticeWhileAFileIsRead(t *testing.T) {
+	t.Parallel()
+	engine := standin.NewEngine(t, standin.Echo(time.Millisecond))
+	reading, held := make(chan struct{}), make(chan struct{})
+	t.Cleanup(func() { close(held) })
+	r := launchWith(t, platform(t, engine.Address, ""), func(s *Server) {
+		s.Reload = func() (*config.Config, error) {
+			close(reading)
+			<-held
+			return nil, errors.New("it never came")
+		}
+	})
+	r.signals <- syscall.SIGHUP
+	<-reading
+	r.signals <- syscall.SIGTERM
+	r.signals = nil
+	select {
+	case err := <-r.end:
+		if err != nil {
+			t.Error(err)
+		}
+	case <-time.After(5 * time.Second):
+		t.Fatal("the notice waits for the file")
+	}
+}
+
+// failing is a listener whose accepts fail at once, as without descriptors, a few times.
+type failing struct {
+	net.Listener
+	left int
+}
+
+func (l *failing) Accept() (net.Conn, error) {
+	if l.left--; l.left < 0 {
+		return nil, net.ErrClosed
+	}
+	return nil, syscall.EMFILE
+}
+
+func (l *failing) Close() error { return nil }
+
+// Accepts that fail at once are not repeated without a pause, and keep no place.
+func TestFailingAcceptsHavePauses(t *testing.T) {
+	t.Parallel()
+	engine := standin.NewEngine(t, standin.Echo(time.Millisecond))
+	r := start(t, engine.Address, "", "")
+	const tries = 20
+	slots := make(chan struct{}, 1)
+	began := time.Now()
+	r.accept(front{Listener: &failing{left: tries}, slots: slots, admin: true})
+	if took := time.Since(began); took < tries*noRoom || len(slots) > 0 {
+		t.Errorf("%d tries in %v, %d places held", tries, took, len(slots))
+	}
+}
