--- a/internal/server/crossings_test.go
+++ b/internal/server/crossings_test.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"kiteslip/internal/config"
+	"kiteslip/internal/core"
 	"kiteslip/internal/frame"
 	"kiteslip/internal/standin"
 )
@@ -736,3 +737,37 @@
 		t.Errorf("%d tries in %v, %d places held", tries, took, len(slots))
 	}
 }
+
+// Bytes behind a uwsgi request wait unread when its answer goes out: the answer
+// arrives, and the end of the connection after it, not a reset.
+func TestBytesBehindAWebRequest(t *testing.T) {
+	t.Parallel()
+	engine := standin.NewEngine(t, standin.Echo(2*time.Second))
+	r := start(t, engine.Address, "", "[uwsgi]\nlisten = \"127.0.0.1:0\"\n")
+	r.eventually(t, "the engine's link", r.link.Ready)
+	conn, err := net.Dial("tcp", r.web)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	conn.Write(standin.Packet(t, standin.Vars("look", "red", "", 3*time.Second), "b")) //nolint:errcheck // seen below
+	r.eventually(t, "it runs", func() bool { return r.link.Running() == 1 })
+	r.look(func() {
+		for h := range r.sessions {
+			f, ok := h.(*webSession)
+			if !ok {
+				continue
+			}
+			conn.Write([]byte("more")) //nolint:errcheck // seen in the next line
+			for !unread(f.conn) {
+				time.Sleep(time.Millisecond)
+			}
+			f.Answer(1, core.Answer{Code: core.Served, Result: []byte("the answer")})
+			f.flush()
+		}
+	})
+	conn.SetDeadline(time.Now().Add(10 * time.Second)) //nolint:errcheck // a TCP connection takes it
+	if got, err := io.ReadAll(conn); err != nil || !strings.HasSuffix(string(got), "the answer") {
+		t.Errorf("read %q, %v", got, err)
+	}
+}
