The server's new code says each thing once: listener's socket, half-read frames, unsent bytes

No change of behaviour, found on a second reading of the change: - turnOff and queued each reached for the listener's socket, and two places for its deadline: onSocket and lookOnce serve them. - quit and halve freed a half-read frame by hand, which hold(0) does. - ended was a copy of life.Done(); bytes that clients have not taken were added up in two branches of reapIdle.

--- a/internal/server/half.go
+++ b/internal/server/half.go
@@ -84,8 +84,7 @@
 		return false
 	}
 	f.half, f.deaf, f.endBy = h, true, now()+f.s.owing()
-	f.s.buffered -= f.held
-	f.held, f.partAt = 0, 0
+	f.hold(0) //nolint:errcheck // nothing is held any more
 	f.goAway()
 	return true
 }
--- a/internal/server/idle.go
+++ b/internal/server/idle.go
@@ -44,18 +44,17 @@
 	}
 	unsent := 0
 	for h := range s.sessions {
+		if c, ok := h.(clientConn); ok {
+			unsent += c.unsent()
+		}
 		if e, ok := h.(interface{ expire(int64) }); ok {
 			e.expire(t)
 			continue
 		}
 		f, ok := h.(*session)
 		if !ok {
-			if w, ok := h.(*webSession); ok { // it has times of its own, see expire
-				unsent += w.unsent()
-			}
-			continue
+			continue // the uwsgi front has times of its own, see expire
 		}
-		unsent += f.unsent()
 		at, within := f.idle(), int64(firstWord)
 		if at.served {
 			within = restOf // it may carry open requests, and a standstill of the machine cuts frames in two
--- a/internal/server/listeners.go
+++ b/internal/server/listeners.go
@@ -90,8 +90,7 @@
 func (s *Server) endListening() {
 	s.stopping.Store(true)
 	for i, l := range s.listeners {
-		queue, ok := l.Listener.(interface{ SetDeadline(time.Time) error })
-		if s.accepting == 0 || s.handing.handed || i == 0 && s.cfg.InheritedFD != 0 || !ok || queue.SetDeadline(time.Now().Add(lastLook)) != nil {
+		if s.accepting == 0 || s.handing.handed || i == 0 && s.cfg.InheritedFD != 0 || !lookOnce(l.Listener) {
 			l.Close()
 		}
 	}
@@ -111,9 +110,7 @@
 	warned, off := time.Time{}, false
 	for s.takeSlot(l) {
 		if s.stopping.Load() && !l.admin {
-			if queue, ok := l.Listener.(interface{ SetDeadline(time.Time) error }); ok {
-				queue.SetDeadline(time.Now().Add(lastLook)) //nolint:errcheck // then the listener is closed already
-			}
+			lookOnce(l.Listener) // where that fails the listener is closed already
 		}
 		c, err := l.Accept()
 		if err == nil {
@@ -147,7 +144,7 @@
 		}
 		select {
 		case <-time.After(noRoom):
-		case <-s.ended:
+		case <-s.life.Done():
 			return
 		}
 	}
@@ -157,38 +154,35 @@
 // comes between the last look at the queue and the close: its caller tries again
 // and is refused. false = the system does not.
 func turnOff(l net.Listener) bool {
-	c, ok := l.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := c.SyscallConn()
-	if err != nil {
-		return false
-	}
 	nothing := []unix.SockFilter{{Code: unix.BPF_RET | unix.BPF_K, K: 0}}
-	var set error
-	err = raw.Control(func(fd uintptr) {
-		set = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER,
-			&unix.SockFprog{Len: uint16(len(nothing)), Filter: &nothing[0]})
+	return onSocket(l, func(fd int) bool {
+		return unix.SetsockoptSockFprog(fd, unix.SOL_SOCKET, unix.SO_ATTACH_FILTER,
+			&unix.SockFprog{Len: uint16(len(nothing)), Filter: &nothing[0]}) == nil
 	})
-	return err == nil && set == nil
 }
 
 // queued says whether the system has a connection that waits to be accepted.
 func queued(l net.Listener) bool {
+	return onSocket(l, func(fd int) bool {
+		n, err := unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
+		return err == nil && n > 0
+	})
+}
+
+// onSocket asks f about a listener's socket; false where it has none.
+func onSocket(l net.Listener, f func(fd int) bool) (yes bool) {
 	c, ok := l.(syscall.Conn)
 	if !ok {
 		return false
 	}
 	raw, err := c.SyscallConn()
-	if err != nil {
-		return false
-	}
-	n := 0
-	err = raw.Control(func(fd uintptr) {
-		n, _ = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
-	})
-	return err == nil && n > 0
+	return err == nil && raw.Control(func(fd uintptr) { yes = f(int(fd)) }) == nil && yes
+}
+
+// lookOnce lets accepts wait only for a last look at the queue; false = the listener has no such time.
+func lookOnce(l net.Listener) bool {
+	queue, ok := l.(interface{ SetDeadline(time.Time) error })
+	return ok && queue.SetDeadline(time.Now().Add(lastLook)) == nil
 }
 
 // A connection that is being handed to the loop has two descriptors for a moment.
@@ -199,7 +193,7 @@
 func (s *Server) takeSlot(l front) bool {
 	select {
 	case l.slots <- struct{}{}:
-	case <-s.ended:
+	case <-s.life.Done():
 		return false
 	}
 	if l.admin {
--- a/internal/server/reload.go
+++ b/internal/server/reload.go
@@ -20,7 +20,7 @@
 		select {
 		case <-signals:
 			s.reload()
-		case <-s.ended:
+		case <-s.life.Done():
 			return
 		}
 	}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -36,7 +36,7 @@
 	redial      = 50_000    // between tries to reach the engine
 	seekEvery   = 1_000_000 // between tries to reach the registry
 	unheardMost = 4         // reports in a row that the system turns away before the registry is sought anew
-	goneEvery   = 1_000_000 // between two lines in the log that the engine\'s link is gone
+	goneEvery   = 1_000_000 // between two lines in the log that the engine's link is gone
 	dialMost    = time.Second
 	gaugeEvery  = 10_000     // between two questions for the gauges while requests are in hand
 	heldDivisor = 8          // part of the memory that half-read frames may take
@@ -78,7 +78,6 @@
 
 	descriptors *semaphore.Weighted // for callers' connections
 	life        context.Context     // of the run
-	ended       <-chan struct{}     // closed with it
 	end         context.CancelFunc
 	admin       *front        // for operators; nil = not set up
 	adminSlots  chan struct{} // the places there
@@ -134,7 +133,6 @@
 		backends: map[*backendConn]struct{}{},
 	}
 	s.life, s.end = context.WithCancel(context.Background())
-	s.ended = s.life.Done()
 	p := PlacesOf(cfg)
 	s.below.ends, s.below.places = map[ledger.End]int{}, p.Ledger
 	s.calls = p.Backends
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -97,7 +97,7 @@
 				} else {
 					stop <- Notice{sig, time.Now()}
 				}
-			case <-s.ended:
+			case <-s.life.Done():
 				return
 			}
 		}
--- a/internal/server/session.go
+++ b/internal/server/session.go
@@ -186,8 +186,7 @@
 func (f *session) quit(why error) {
 	f.fault(0, why)
 	f.deaf, f.endBy = true, now()+f.s.owing()
-	f.s.buffered -= f.held
-	f.held, f.partAt = 0, 0
+	f.hold(0) //nolint:errcheck // nothing is held any more
 }
 
 // part ends the connection in an orderly way, unless something waits unread.
