Control: records, signatures and design of versions that spread as deltas

The operator's records Team, Service, Contract and Pool move to document, where both a file and a version are made of them.

Checked: go build, go vet, tests of internal/config pass; nothing calls the new packages yet.

--- a/internal/config/calls.go
+++ b/internal/config/calls.go
@@ -36,7 +36,7 @@
 }
 
 // calls enters what one contract says of calls.
-func (t *Contract) calls(c *Config, m *kiteslip.Class, key string, errs *problems) {
+func (t contract) calls(c *Config, m *kiteslip.Class, key string, errs *problems) {
 	if t.Calls != nil {
 		m.Calls = *t.Calls
 	}
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -10,6 +10,7 @@
 	"github.com/BurntSushi/toml"
 
 	"kiteslip"
+	"kiteslip/internal/control/document"
 	"kiteslip/internal/uwsgi"
 )
 
@@ -53,36 +54,15 @@
 	OverShareWorth float64 `toml:"over_share_worth"`
 }
 
-// Team is one of those who send requests, with its budget.
-type Team struct {
-	Name  string  `toml:"name"`
-	Quota float64 `toml:"requests_per_s"`
-}
-
-// Service is what one team offers.
-type Service struct {
-	Name      string     `toml:"name"`
-	Owner     string     `toml:"owner"`
-	Backend   string     `toml:"backend"` // the uwsgi server that does the work; "" = the engine
-	Contracts []Contract `toml:"contract"`
-}
+// What the fleet serves by, whether it comes with the file or as a version.
+type (
+	Team     = document.Team
+	Service  = document.Service
+	Contract = document.Contract
+)
 
-// Contract is what is promised for one class of a service's requests.
-type Contract struct {
-	Class      string   `toml:"class"`
-	Path       string   `toml:"path"`
-	Effect     string   `toml:"effect"`
-	AimMS      *float64 `toml:"aim_ms"`
-	DeadlineMS *float64 `toml:"deadline_ms"`
-	WindowMS   *float64 `toml:"window_ms"`
-	Worth      *float64 `toml:"worth"`
-	LateWorth  *float64 `toml:"late_worth"`
-	MaxBody    int      `toml:"max_body"`
-	MaxResult  int      `toml:"max_result"`
-	HeldKB     float64  `toml:"held_kb"`
-	Calls      *bool    `toml:"calls"`
-	SkipWorth  *float64 `toml:"skip_worth"`
-}
+// contract is one as it is entered.
+type contract struct{ *Contract }
 
 // The defaults and bounds of the operator's file.
 const (
@@ -278,7 +258,7 @@
 				errs.add(key+".path", "is %q, want one of its own that starts with /", t.Path)
 			}
 			paths[t.Path] = true
-			t.apply(c, s.Backend, key, errs)
+			contract{t}.apply(c, s.Backend, key, errs)
 		}
 	}
 	if len(c.Module.Classes) == 0 {
@@ -306,7 +286,7 @@
 	}
 }
 
-func (t *Contract) apply(c *Config, backend, key string, errs *problems) {
+func (t contract) apply(c *Config, backend, key string, errs *problems) {
 	at := place(&c.Classes, t.Class)
 	known := at < len(c.Module.Classes)
 	if !known {
--- a/internal/config/pools.go
+++ b/internal/config/pools.go
@@ -4,21 +4,12 @@
 	"fmt"
 	"slices"
 
+	"kiteslip/internal/control/document"
 	"kiteslip/internal/pool"
 )
 
-// Pool is one [[pool]] of the operator's file: classes that share running
-// places and memory. All figures but Waiting are parts, 0 to 1.
-type Pool struct {
-	Name       string   `toml:"name"`
-	Classes    []string `toml:"classes"`
-	Share      float64  `toml:"share"`       // of the running places: its own whenever it wants them
-	Most       float64  `toml:"most"`        // of the running places: never more; 0 = all
-	Reserve    float64  `toml:"reserve"`     // of the cores: places beyond the running limit
-	Memory     float64  `toml:"memory"`      // of work_mb: its own; 0 = as share
-	MemoryMost float64  `toml:"memory_most"` // of work_mb: never more; 0 = all
-	Waiting    int      `toml:"waiting"`     // requests that may wait; 0 = what can be served in time
-}
+// Pool is one [[pool]] of the operator's file.
+type Pool = document.Pool
 
 // Pools is [pools]: what concerns all of them.
 type Pools struct {
--- /dev/null
+++ b/internal/control/document/document.go
@@ -0,0 +1,129 @@
+// Package document holds what a fleet serves by (teams with their budgets,
+// services with their contracts, pools) as numbered versions, each of which
+// names its parent by digest.
+//
+// Values in, values out: no I/O, no clock, no goroutine. A Document is never
+// changed once it is made: any number of goroutines may read it, and a version
+// that comes after shares what it has not changed, so that applying a Delta
+// costs by what the delta touches. A delta is checked as a whole, all faults are
+// named at once, and it is refused as a whole: what was in force stays.
+//
+// The digest of a version is SHA-256 over its header, which names the digest of
+// the parent and the digest of the content, see Header. Two versions with one
+// number and unlike digests are a fork; no server ever acts on the second.
+package document
+
+import (
+	"encoding/hex"
+	"errors"
+)
+
+// Team is one of those who send requests, with its budget over the whole fleet.
+type Team struct {
+	Name  string  `toml:"name" cbor:"1,keyasint"`
+	Quota float64 `toml:"requests_per_s" cbor:"2,keyasint"` // requests a second that count in full
+}
+
+// Service is what one team offers.
+type Service struct {
+	Name      string     `toml:"name" cbor:"1,keyasint"`
+	Owner     string     `toml:"owner" cbor:"2,keyasint,omitempty"`
+	Backend   string     `toml:"backend" cbor:"3,keyasint,omitempty"` // the uwsgi server that does the work; "" = the engine
+	Contracts []Contract `toml:"contract" cbor:"4,keyasint"`
+}
+
+// Contract is what is promised for one class of a service's requests; what is
+// nil or zero stays as the platform or the default has it. Each is a route: its
+// class, and its path where it has one, lead to the service's backend.
+type Contract struct {
+	Class      string   `toml:"class" cbor:"1,keyasint"`
+	Path       string   `toml:"path" cbor:"2,keyasint,omitempty"`
+	Effect     string   `toml:"effect" cbor:"3,keyasint,omitempty"`
+	AimMS      *float64 `toml:"aim_ms" cbor:"4,keyasint,omitempty"`
+	DeadlineMS *float64 `toml:"deadline_ms" cbor:"5,keyasint,omitempty"`
+	WindowMS   *float64 `toml:"window_ms" cbor:"6,keyasint,omitempty"`
+	Worth      *float64 `toml:"worth" cbor:"7,keyasint,omitempty"`
+	LateWorth  *float64 `toml:"late_worth" cbor:"8,keyasint,omitempty"`
+	MaxBody    int      `toml:"max_body" cbor:"9,keyasint,omitempty"`
+	MaxResult  int      `toml:"max_result" cbor:"10,keyasint,omitempty"`
+	HeldKB     float64  `toml:"held_kb" cbor:"11,keyasint,omitempty"`
+	Calls      *bool    `toml:"calls" cbor:"12,keyasint,omitempty"`
+	SkipWorth  *float64 `toml:"skip_worth" cbor:"13,keyasint,omitempty"`
+}
+
+// Pool is one pool of classes that share running places and memory. All figures
+// but Waiting are parts, 0 to 1.
+type Pool struct {
+	Name       string   `toml:"name" cbor:"1,keyasint"`
+	Classes    []string `toml:"classes" cbor:"2,keyasint"`
+	Share      float64  `toml:"share" cbor:"3,keyasint,omitempty"`       // of the running places: its own whenever it wants them
+	Most       float64  `toml:"most" cbor:"4,keyasint,omitempty"`        // of the running places: never more; 0 = all
+	Reserve    float64  `toml:"reserve" cbor:"5,keyasint,omitempty"`     // of the cores: places beyond the running limit
+	Memory     float64  `toml:"memory" cbor:"6,keyasint,omitempty"`      // of work_mb: its own; 0 = as share
+	MemoryMost float64  `toml:"memory_most" cbor:"7,keyasint,omitempty"` // of work_mb: never more; 0 = all
+	Waiting    int      `toml:"waiting" cbor:"8,keyasint,omitempty"`     // requests that may wait; 0 = what can be served in time
+}
+
+// Content is all that one version holds, each list in the order of names.
+type Content struct {
+	Teams        []Team    `cbor:"1,keyasint"`
+	Services     []Service `cbor:"2,keyasint"`
+	Pools        []Pool    `cbor:"3,keyasint,omitempty"`
+	CheapReserve float64   `cbor:"4,keyasint,omitempty"` // of the cores: places for the cheapest class
+}
+
+// Change sets or drops one entry. Exactly one of the four is set: a team, a
+// service, a pool or the reserve; with Drop only its name counts.
+type Change struct {
+	Drop    bool     `cbor:"1,keyasint,omitempty"`
+	Team    *Team    `cbor:"2,keyasint,omitempty"`
+	Service *Service `cbor:"3,keyasint,omitempty"`
+	Pool    *Pool    `cbor:"4,keyasint,omitempty"`
+	Reserve *float64 `cbor:"5,keyasint,omitempty"`
+}
+
+// Digest is SHA-256.
+type Digest [32]byte
+
+// String is the first 12 hex digits, as logs and the operators' door show it.
+func (d Digest) String() string { return hex.EncodeToString(d[:6]) }
+
+// Header says what a version is: its digest is that of this record.
+type Header struct {
+	Number  uint64 `cbor:"1,keyasint"` // 1 and up; 0 = Empty
+	Parent  Digest `cbor:"2,keyasint"` // of the version before
+	Content Digest `cbor:"3,keyasint"` // of what the version holds
+	Author  string `cbor:"4,keyasint"`
+	Reason  string `cbor:"5,keyasint"`
+	Time    int64  `cbor:"6,keyasint"` // when it was accepted, Unix microseconds
+}
+
+// Delta is the step from a version's parent to it.
+type Delta struct {
+	Header  Header   `cbor:"1,keyasint"`
+	Changes []Change `cbor:"2,keyasint"`
+}
+
+// Meta is what the operator says of a version.
+type Meta struct {
+	Author, Reason string
+	Time           int64 // Unix microseconds
+}
+
+// The bounds on what is taken in; more is a fault that names the bound.
+const (
+	MostTeams    = 65_536
+	MostServices = 8_192
+	MostRoutes   = 8_192 // contracts of all services
+	MostPools    = 64
+	MostName     = 128     // bytes of a name or path
+	MostText     = 1 << 10 // bytes of an author or a reason
+	MostBytes    = 16 << 20
+)
+
+// Errors of Apply, to be compared with errors.Is.
+var (
+	ErrParent = errors.New("document: the delta's parent is not the version in force") // what lies between is missing
+	ErrFork   = errors.New("document: another version with this number is in force")
+	ErrDigest = errors.New("document: the content is not the one that the header names")
+)
--- /dev/null
+++ b/internal/control/protocol/protocol.go
@@ -0,0 +1,93 @@
+// Package protocol is what a follower and a publisher say to each other, as
+// values. The transport is HTTP/2 without TLS by net/http, full duplex on one
+// request:
+//
+//	POST /v1/follow     the request's body is a sequence of CBOR records, FromFollower,
+//	                    the first of which has Hello; the answer's body is one of
+//	                    FromPublisher. It goes on until either ends it.
+//	POST /v1/versions   publishes (to the originator; others answer 409 and name it)
+//	GET  /v1/version    the header in force, as JSON
+//	GET  /v1/followers  who is on which version and who lags, as JSON
+//
+// The publisher sends what the follower lacks: deltas in order while its log
+// reaches back to the version that Hello names by number and digest, else one
+// snapshot. Then it sends deltas as versions come, and a Beat each BeatEvery. The
+// follower answers each version that it took over, or refused, with an Ack.
+// Nothing is queued for a follower: the publisher's side reads on in its log when
+// the last write has been taken, and one that takes nothing for WriteWithin is cut off.
+package protocol
+
+import (
+	"time"
+
+	"kiteslip/internal/control/document"
+)
+
+// The paths.
+const (
+	PathFollow    = "/v1/follow"
+	PathVersions  = "/v1/versions"
+	PathVersion   = "/v1/version"
+	PathFollowers = "/v1/followers"
+)
+
+// The times that both sides keep to.
+const (
+	BeatEvery   = time.Second             // between two beats while nothing else is sent
+	SilentMost  = 2500 * time.Millisecond // a publisher that says nothing for so long is left for another
+	OrphanMost  = 2500 * time.Millisecond // ... as is one that has not heard the originator for so long, where another has
+	WriteWithin = 2 * time.Second         // a follower that takes nothing for so long is cut off
+	MostMessage = document.MostBytes      // bytes of one record
+)
+
+// Hello is the first thing that a follower says.
+type Hello struct {
+	Name      string          `cbor:"1,keyasint"`
+	Region    string          `cbor:"2,keyasint"`
+	Publisher bool            `cbor:"3,keyasint,omitempty"` // it is one of the control machines
+	Number    uint64          `cbor:"4,keyasint"`           // of the version in force there; 0 = none
+	Digest    document.Digest `cbor:"5,keyasint"`
+}
+
+// Ack says what became of a version.
+type Ack struct {
+	Number  uint64          `cbor:"1,keyasint"` // in force there now
+	Digest  document.Digest `cbor:"2,keyasint"`
+	Refused string          `cbor:"3,keyasint,omitempty"` // why the version sent last is not in force
+	Fork    bool            `cbor:"4,keyasint,omitempty"` // ... because another has its number
+	Leaving bool            `cbor:"5,keyasint,omitempty"` // the server leaves: it takes no more
+}
+
+// FromFollower has one of its parts.
+type FromFollower struct {
+	Hello *Hello `cbor:"1,keyasint,omitempty"`
+	Ack   *Ack   `cbor:"2,keyasint,omitempty"`
+}
+
+// Beat says that the publisher is there.
+type Beat struct {
+	Number  uint64          `cbor:"1,keyasint"` // in force at the publisher
+	Digest  document.Digest `cbor:"2,keyasint"`
+	Unheard int64           `cbor:"3,keyasint,omitempty"` // milliseconds since it last heard the originator; 0 at the originator
+}
+
+// FromPublisher has one of its parts.
+type FromPublisher struct {
+	Beat     *Beat  `cbor:"1,keyasint,omitempty"`
+	Delta    []byte `cbor:"2,keyasint,omitempty"` // by Delta.Encode
+	Snapshot []byte `cbor:"3,keyasint,omitempty"` // by Document.Snapshot
+}
+
+// Follower is one line of GET /v1/followers.
+type Follower struct {
+	Name      string `json:"name"`
+	Region    string `json:"region"`
+	Publisher bool   `json:"publisher,omitempty"`
+	Number    uint64 `json:"version"`
+	Digest    string `json:"digest"`
+	LagMS     int64  `json:"lag_ms"` // since a version that it is not on came into force here; 0 = current
+	Refused   string `json:"refused,omitempty"`
+	Fork      bool   `json:"fork,omitempty"`
+	Connected bool   `json:"connected"`
+	SeenMS    int64  `json:"seen_ms"` // since it last said anything
+}
