--- /dev/null
+++ b/internal/control/document/content.go
@@ -0,0 +1,161 @@
+package document
+
+import (
+	"reflect"
+	"slices"
+	"strings"
+)
+
+// plain is v, and 0 for -0, so that equal figures have equal words.
+func plain(v float64) float64 {
+	if v == 0 {
+		return 0
+	}
+	return v
+}
+
+func plainPointer(v *float64) *float64 {
+	if v == nil {
+		return nil
+	}
+	w := plain(*v)
+	return &w
+}
+
+// The copies share no memory with what they are of: neither what a caller changes
+// later, nor the text of a file that its strings lie in.
+
+func cloneTeam(t *Team) *Team {
+	return &Team{Name: strings.Clone(t.Name), Quota: plain(t.Quota)}
+}
+
+func cloneService(s *Service) *Service {
+	c := &Service{Name: strings.Clone(s.Name), Owner: strings.Clone(s.Owner), Backend: strings.Clone(s.Backend),
+		Contracts: slices.Clone(s.Contracts)}
+	for i := range c.Contracts {
+		t := &c.Contracts[i]
+		t.Class, t.Path, t.Effect = strings.Clone(t.Class), strings.Clone(t.Path), strings.Clone(t.Effect)
+		t.AimMS, t.DeadlineMS, t.WindowMS = plainPointer(t.AimMS), plainPointer(t.DeadlineMS), plainPointer(t.WindowMS)
+		t.Worth, t.LateWorth, t.SkipWorth = plainPointer(t.Worth), plainPointer(t.LateWorth), plainPointer(t.SkipWorth)
+		t.HeldKB = plain(t.HeldKB)
+		if t.Calls != nil {
+			calls := *t.Calls
+			t.Calls = &calls
+		}
+	}
+	return c
+}
+
+func clonePool(p *Pool) *Pool {
+	c := *p
+	c.Name, c.Classes = strings.Clone(p.Name), slices.Clone(p.Classes)
+	for i := range c.Classes {
+		c.Classes[i] = strings.Clone(c.Classes[i])
+	}
+	c.Share, c.Most, c.Reserve = plain(p.Share), plain(p.Most), plain(p.Reserve)
+	c.Memory, c.MemoryMost = plain(p.Memory), plain(p.MemoryMost)
+	return &c
+}
+
+// Content returns all that the version holds, as a copy: it costs by all.
+func (d *Document) Content() Content {
+	c := d.state.contents()
+	for i := range c.Services {
+		c.Services[i] = *cloneService(&c.Services[i])
+	}
+	for i := range c.Pools {
+		c.Pools[i] = *clonePool(&c.Pools[i])
+	}
+	return c
+}
+
+// contents is Content that shares memory with the state.
+func (s *state) contents() Content {
+	c := Content{Teams: make([]Team, 0, s.teams), Services: make([]Service, 0, s.services)}
+	each(s.tree.Root(), []byte{inEntries}, func(_ []byte, value any) {
+		switch v := value.(type) {
+		case *Team:
+			c.Teams = append(c.Teams, *v)
+		case *Service:
+			c.Services = append(c.Services, *v)
+		case *Pool:
+			c.Pools = append(c.Pools, *v)
+		case *float64:
+			c.CheapReserve = *v
+		}
+	})
+	slices.SortFunc(c.Teams, func(a, b Team) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(c.Services, func(a, b Service) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(c.Pools, func(a, b Pool) int { return strings.Compare(a.Name, b.Name) })
+	return c
+}
+
+// changes sets all of a content.
+func (c *Content) changes() []Change {
+	all := make([]Change, 0, len(c.Teams)+len(c.Services)+len(c.Pools)+1)
+	for i := range c.Teams {
+		all = append(all, Change{Team: &c.Teams[i]})
+	}
+	for i := range c.Services {
+		all = append(all, Change{Service: &c.Services[i]})
+	}
+	for i := range c.Pools {
+		all = append(all, Change{Pool: &c.Pools[i]})
+	}
+	return append(all, Change{Reserve: &c.CheapReserve})
+}
+
+// Diff returns the changes that make what d holds into next: teams, services,
+// pools and the reserve, each kind by name, what is dropped of a kind first, but
+// teams last. It costs by all. What next names twice comes twice, and is a fault
+// to Draft. No changes: next is what d holds.
+func (d *Document) Diff(next *Content) []Change {
+	if next == nil {
+		return nil
+	}
+	type id struct {
+		kind kind
+		name string
+	}
+	seen, entries := map[id]int{}, []entry(nil)
+	all := next.changes()
+	for i := range all {
+		e, err := entryOf(&all[i])
+		if err != nil {
+			continue // each has one entry
+		}
+		seen[id{e.kind, e.name}]++
+		entries = append(entries, e)
+	}
+	kept := entries[:0]
+	for _, e := range entries {
+		now, ok := find[any](d.state, e.kind, e.name)
+		if e.kind == kindReserve && !ok {
+			now, ok = new(float64), true
+		}
+		if seen[id{e.kind, e.name}] > 1 || !ok || !reflect.DeepEqual(now, e.value) {
+			kept = append(kept, e)
+		}
+	}
+	drop := func(k kind, name string) {
+		if seen[id{k, name}] == 0 {
+			kept = append(kept, entry{kind: k, name: name, drop: true})
+		}
+	}
+	each(d.state.tree.Root(), []byte{inEntries}, func(_ []byte, value any) {
+		switch v := value.(type) {
+		case *Team:
+			drop(kindTeam, v.Name)
+		case *Service:
+			drop(kindService, v.Name)
+		case *Pool:
+			drop(kindPool, v.Name)
+		}
+	})
+	slices.SortStableFunc(kept, byRank)
+	var changes []Change
+	for i := range kept {
+		changes = append(changes, kept[i].change())
+	}
+	return changes
+}
--- /dev/null
+++ b/internal/control/document/edit.go
@@ -0,0 +1,326 @@
+package document
+
+import (
+	"cmp"
+	"errors"
+	"reflect"
+	"slices"
+	"strings"
+
+	iradix "github.com/hashicorp/go-immutable-radix/v2"
+)
+
+// mostChanges bounds a delta: all that may be there dropped, and as much set.
+const mostChanges = 2 * (MostTeams + MostServices + MostPools + 1)
+
+// entry is a Change as it is worked on.
+type entry struct {
+	kind   kind
+	name   string
+	drop   bool
+	value  any // what it is set to, a copy of its own: *Team, *Service, *Pool or *float64
+	bucket int
+	old    any  // what is there before; nil = nothing
+	skip   bool // nothing is to be done: it is as it was, or at fault
+}
+
+func (e *entry) title() string {
+	if e.kind == kindReserve {
+		return "reserve"
+	}
+	return e.kind.String() + " " + quote(e.name)
+}
+
+// change is the entry as a delta has it.
+func (e *entry) change() Change {
+	switch v := e.value.(type) {
+	case *Team:
+		return Change{Team: v}
+	case *Service:
+		return Change{Service: v}
+	case *Pool:
+		return Change{Pool: v}
+	case *float64:
+		return Change{Reserve: v}
+	}
+	c := Change{Drop: true}
+	switch e.kind {
+	case kindTeam:
+		c.Team = &Team{Name: e.name}
+	case kindService:
+		c.Service = &Service{Name: e.name}
+	case kindPool:
+		c.Pool = &Pool{Name: e.name}
+	default:
+		c.Reserve = new(float64)
+	}
+	return c
+}
+
+// rank is the order of the kinds in a delta. Teams come before the services that
+// they own and go after them.
+func (e *entry) rank() int {
+	switch {
+	case e.kind == kindTeam && e.drop:
+		return 6
+	case e.kind == kindTeam:
+		return 0
+	case e.kind == kindService && e.drop:
+		return 1
+	case e.kind == kindService:
+		return 2
+	case e.kind == kindPool && e.drop:
+		return 3
+	case e.kind == kindPool:
+		return 4
+	}
+	return 5
+}
+
+func byRank(a, b entry) int {
+	return cmp.Or(cmp.Compare(a.rank(), b.rank()), strings.Compare(a.name, b.name))
+}
+
+// entryOf reads a Change and copies what it sets.
+func entryOf(c *Change) (entry, error) {
+	e, set := entry{drop: c.Drop}, 0
+	if c.Team != nil {
+		e.kind, e.name, e.value, set = kindTeam, c.Team.Name, cloneTeam(c.Team), set+1
+	}
+	if c.Service != nil {
+		e.kind, e.name, e.value, set = kindService, c.Service.Name, cloneService(c.Service), set+1
+	}
+	if c.Pool != nil {
+		e.kind, e.name, e.value, set = kindPool, c.Pool.Name, clonePool(c.Pool), set+1
+	}
+	if c.Reserve != nil {
+		v := plain(*c.Reserve)
+		e.kind, e.name, e.value, set = kindReserve, "", &v, set+1
+	}
+	if set != 1 {
+		return e, errors.New("names no entry, or more than one")
+	}
+	e.name = strings.Clone(e.name)
+	if e.drop {
+		e.value = nil
+	}
+	return e, nil
+}
+
+// edit returns the state that the changes make of s, and the changes that it
+// took, in order. s stays as it is. The outcome is checked as a whole: a class may
+// go from one service to another in one delta.
+func (s *state) edit(changes []Change) (*state, []Change, error) {
+	var f faults
+	if len(changes) == 0 {
+		return nil, nil, errors.New("the delta is empty")
+	}
+	if len(changes) > mostChanges {
+		f.add("the delta has %d changes, want at most %d", len(changes), mostChanges)
+		return nil, nil, f.join()
+	}
+	entries := readChanges(changes, &f)
+	next := *s
+	txn := s.tree.Txn()
+	for i := range entries {
+		next.takeOut(txn, &entries[i], &f)
+	}
+	for i := range entries {
+		next.putIn(txn, &entries[i], &f)
+	}
+	next.check(txn.Root(), entries, &f)
+	if len(f) > 0 {
+		return nil, nil, f.join()
+	}
+	effective, touched := []Change(nil), map[int]bool{}
+	for i := range entries {
+		if e := &entries[i]; !e.skip {
+			effective, touched[e.bucket] = append(effective, e.change()), true
+		}
+	}
+	if len(effective) == 0 {
+		return nil, nil, errors.New("the delta changes nothing")
+	}
+	next.tree = txn.CommitOnly()
+	next.digestAgain(touched)
+	return &next, effective, nil
+}
+
+// readChanges checks each change by itself. What has no place in a tree is left out.
+func readChanges(changes []Change, f *faults) []entry {
+	type id struct {
+		kind kind
+		name string
+	}
+	entries, seen := make([]entry, 0, len(changes)), make(map[id]bool, len(changes))
+	for i := range changes {
+		e, err := entryOf(&changes[i])
+		if err != nil {
+			f.add("change[%d] %w", i, err)
+			continue
+		}
+		if e.kind != kindReserve && !f.text(e.title()+" name", e.name, MostName) {
+			continue
+		}
+		if seen[id{e.kind, e.name}] {
+			f.add("%s is named twice", e.title())
+			continue
+		}
+		seen[id{e.kind, e.name}] = true
+		e.bucket = bucketOf(e.kind, e.name)
+		entries = append(entries, e)
+	}
+	slices.SortStableFunc(entries, byRank)
+	for i := range entries {
+		f.entry(&entries[i])
+	}
+	return entries
+}
+
+// takeOut looks up what the entry is now, and takes it, or what the indexes say of it, out.
+func (s *state) takeOut(txn *iradix.Txn[any], e *entry, f *faults) {
+	key := entryKey(e.kind, e.name, e.bucket)
+	if old, ok := txn.Get(key); ok {
+		e.old = old
+	}
+	zero := e.kind == kindReserve && !e.drop && *e.value.(*float64) == 0 // is not kept
+	switch {
+	case e.drop && e.old == nil:
+		f.add("%s is not there, and cannot be dropped", e.title())
+		e.skip = true
+	case !e.drop && e.old != nil && reflect.DeepEqual(e.old, e.value), zero && e.old == nil:
+		e.skip = true
+	}
+	if e.skip || e.old == nil {
+		return
+	}
+	s.index(txn, e.old, "", false, nil)
+	if e.drop || zero {
+		txn.Delete(key)
+	}
+}
+
+// putIn sets the entry, and what the indexes say of it.
+func (s *state) putIn(txn *iradix.Txn[any], e *entry, f *faults) {
+	if e.skip || e.drop || e.kind == kindReserve && *e.value.(*float64) == 0 {
+		return
+	}
+	txn.Insert(entryKey(e.kind, e.name, e.bucket), e.value)
+	s.index(txn, e.value, e.title(), true, f)
+}
+
+// index enters an entry in the indexes and sums, or takes it out. A name that
+// another entry has is a fault.
+func (s *state) index(txn *iradix.Txn[any], value any, title string, in bool, f *faults) {
+	n := 1
+	if !in {
+		n = -1
+	}
+	own := func(index byte, key, what, name, other string) bool {
+		if key == "" || len(key) > MostName {
+			return false // named as a fault already
+		}
+		if !in {
+			txn.Delete(indexKey(index, key))
+			return true
+		}
+		if old, ok := txn.Get(indexKey(index, key)); ok {
+			f.add("%s %s is %s, want one of its own: %s %s has it", title, what, quote(key), other, quote(old.(string)))
+			return false
+		}
+		txn.Insert(indexKey(index, key), name)
+		return true
+	}
+	switch v := value.(type) {
+	case *Team:
+		s.teams += n
+	case *Service:
+		s.services += n
+		s.routes += n * len(v.Contracts)
+		for i := range v.Contracts {
+			c := &v.Contracts[i]
+			own(inClasses, c.Class, "contract "+quote(c.Class)+" class", v.Name, "service")
+			own(inPaths, c.Path, "contract "+quote(c.Class)+" path", v.Name, "service")
+		}
+		if v.Owner != "" && len(v.Owner) <= MostName {
+			if key := ownerKey(v.Owner, v.Name); in {
+				txn.Insert(key, v.Name)
+			} else {
+				txn.Delete(key)
+			}
+		}
+	case *Pool:
+		s.pools += n
+		s.pooled += n * len(v.Classes)
+		for _, class := range v.Classes {
+			own(inPooled, class, "class", v.Name, "pool")
+		}
+		if in {
+			txn.Insert(indexKey(inPools, v.Name), v)
+		} else {
+			txn.Delete(indexKey(inPools, v.Name))
+		}
+	}
+}
+
+// check looks at the outcome: who refers to whom, and the sums.
+func (s *state) check(root *iradix.Node[any], entries []entry, f *faults) {
+	pools := false
+	for i := range entries {
+		e := &entries[i]
+		switch {
+		case e.kind == kindTeam && e.drop:
+			first, n := "", 0
+			each(root, ownerKey(e.name, ""), func(_ []byte, service any) {
+				if n++; n == 1 {
+					first = service.(string)
+				}
+			})
+			if n > 0 {
+				f.add("%s is dropped and owns %d services still, service %s among them", e.title(), n, quote(first))
+			}
+		case e.kind == kindService && !e.drop:
+			owner := e.value.(*Service).Owner
+			if owner == "" || len(owner) > MostName {
+				continue
+			}
+			if _, ok := root.Get(entryKey(kindTeam, owner, bucketOf(kindTeam, owner))); !ok {
+				f.add("%s owner is %s, which is no team", e.title(), quote(owner))
+			}
+		case e.kind == kindPool, e.kind == kindReserve:
+			pools = true
+		}
+	}
+	bound := func(what string, n, most int) {
+		if n > most {
+			f.add("there are %d %s, want at most %d", n, what, most)
+		}
+	}
+	bound("teams", s.teams, MostTeams)
+	bound("services", s.services, MostServices)
+	bound("contracts", s.routes, MostRoutes)
+	bound("pools", s.pools, MostPools)
+	bound("classes in pools", s.pooled, MostRoutes)
+	if pools {
+		s.checkPools(root, f)
+	}
+}
+
+// checkPools looks at all pools: they are few.
+func (s *state) checkPools(root *iradix.Node[any], f *faults) {
+	share, memory := 0.0, 0.0
+	each(root, []byte{inPools}, func(_ []byte, value any) {
+		p := value.(*Pool)
+		share += p.Share
+		memory += ownMemory(p)
+	})
+	if share > 1+rounding {
+		f.add("share adds up to %.3f over all pools, want 1 at most", share)
+	}
+	if memory > 1+rounding {
+		f.add("memory adds up to %.3f over all pools, want 1 at most", memory)
+	}
+	if _, ok := root.Get(entryKey(kindReserve, "", bucketOf(kindReserve, ""))); ok && s.pools == 0 {
+		f.add("reserve is there, and there is no pool")
+	}
+}
