--- /dev/null
+++ b/internal/control/document/bench_test.go
@@ -0,0 +1,169 @@
+package document
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"syscall"
+	"testing"
+)
+
+// The size that the figures are for.
+const (
+	fleetTeams    = 21_000
+	fleetServices = 2_800
+)
+
+// fleet is a content of that many teams, and of services with one contract each.
+func fleet(teams, services int) Content {
+	r := rand.New(rand.NewPCG(1, 2))
+	var c Content
+	for i := range teams {
+		c.Teams = append(c.Teams, Team{Name: fmt.Sprintf("team-%05d", i), Quota: float64(1+r.IntN(4000)) / 20})
+	}
+	for i := range services {
+		deadline := float64(50 * (1 + r.IntN(40)))
+		aim := deadline / 4
+		c.Services = append(c.Services, Service{
+			Name: fmt.Sprintf("service-%04d", i), Owner: c.Teams[r.IntN(teams)].Name,
+			Backend: fmt.Sprintf("10.0.%d.%d:9000", i/200, i%200),
+			Contracts: []Contract{{Class: fmt.Sprintf("route-%04d", i), Path: fmt.Sprintf("/service/%04d", i),
+				Effect: "repeatable", AimMS: &aim, DeadlineMS: &deadline, MaxBody: 4096}},
+		})
+	}
+	return c
+}
+
+// version makes a document of a content.
+func version(t testing.TB, c Content) *Document {
+	t.Helper()
+	d := Empty()
+	delta, err := d.Draft(d.Diff(&c), by)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if d, err = d.Apply(delta); err != nil {
+		t.Fatal(err)
+	}
+	return d
+}
+
+// step drafts a delta that changes the quotas of n teams.
+func step(t testing.TB, d *Document, n int) *Delta {
+	t.Helper()
+	var changes []Change
+	for i := range n {
+		name := fmt.Sprintf("team-%05d", i*(fleetTeams/n))
+		now, _ := d.Team(name)
+		changes = append(changes, Change{Team: &Team{Name: name, Quota: now.Quota + 1}})
+	}
+	delta, err := d.Draft(changes, by)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return delta
+}
+
+// processor returns what the process has used of processors, in nanoseconds: on a
+// busy machine that says more than the time that passed.
+func processor() float64 {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return float64(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// loop runs f, with its garbage collected, and reports the processor time as well.
+func loop(b *testing.B, f func() error) {
+	runtime.GC()
+	b.ReportAllocs()
+	start := processor()
+	for b.Loop() {
+		if err := f(); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric((processor()-start)/float64(b.N), "cpu-ns/op")
+}
+
+func benchmarkApply(b *testing.B, n int) {
+	d := version(b, fleet(fleetTeams, fleetServices))
+	delta := step(b, d, n)
+	loop(b, func() error { _, err := d.Apply(delta); return err })
+}
+
+func BenchmarkApplyOne(b *testing.B)  { benchmarkApply(b, 1) }
+func BenchmarkApply5000(b *testing.B) { benchmarkApply(b, 5000) }
+
+func BenchmarkDecodeOne(b *testing.B) {
+	d := version(b, fleet(fleetTeams, fleetServices))
+	words, err := step(b, d, 1).Encode()
+	if err != nil {
+		b.Fatal(err)
+	}
+	loop(b, func() error { _, err := DecodeDelta(words); return err })
+	b.ReportMetric(float64(len(words)), "bytes")
+}
+
+func BenchmarkSnapshot(b *testing.B) {
+	d := version(b, fleet(fleetTeams, fleetServices))
+	size := 0
+	loop(b, func() error {
+		words, err := d.Snapshot()
+		size = len(words)
+		return err
+	})
+	b.ReportMetric(float64(size), "bytes")
+	b.ReportMetric(float64(len(encode(&snapshot{d.header, d.state.contents()}))), "bytes-unpacked")
+}
+
+func BenchmarkOpen(b *testing.B) {
+	words, err := version(b, fleet(fleetTeams, fleetServices)).Snapshot()
+	if err != nil {
+		b.Fatal(err)
+	}
+	loop(b, func() error { _, err := Open(words); return err })
+}
+
+func heap() (live, total uint64) {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc, m.TotalAlloc
+}
+
+// TestMemory holds a version of the target's size, and what a change of one team
+// takes, to their bounds.
+func TestMemory(t *testing.T) {
+	words, err := version(t, fleet(fleetTeams, fleetServices)).Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	before, _ := heap()
+	d, err := Open(words)
+	if err != nil {
+		t.Fatal(err)
+	}
+	after, total := heap()
+	if size := int64(after) - int64(before); size > 20<<20 {
+		t.Errorf("a document takes %d bytes, want at most %d", size, 20<<20)
+	} else {
+		t.Logf("a document takes %d bytes", size)
+	}
+	const rounds = 100
+	for range rounds {
+		next, err := d.Apply(step(t, d, 1))
+		if err != nil {
+			t.Fatal(err)
+		}
+		d = next
+	}
+	_, made := heap()
+	if each := (made - total) / rounds; each > 80<<10 {
+		t.Errorf("Draft and Apply of one team make %d bytes of garbage, want at most %d", each, 80<<10)
+	} else {
+		t.Logf("Draft and Apply of one team make %d bytes of garbage", each)
+	}
+	runtime.KeepAlive(d)
+}
--- a/internal/control/document/check.go
+++ b/internal/control/document/check.go
@@ -37,110 +37,130 @@
 	return strconv.Quote(s)
 }
 
+// about is an entry, or one of its contracts, whose faults are named. Its name is
+// worded only where there is a fault.
+type about struct {
+	f        *faults
+	entry    *entry // nil = the version itself
+	contract *Contract
+	at       int // of the contract
+}
+
+func (a about) add(key, format string, args ...any) {
+	title := ""
+	if a.entry != nil {
+		title = a.entry.title() + " "
+	}
+	if a.contract != nil && a.contract.Class != "" {
+		title += "contract " + quote(a.contract.Class) + " "
+	} else if a.contract != nil {
+		title += fmt.Sprintf("contract[%d] ", a.at)
+	}
+	a.f.add("%s%s %s", title, key, fmt.Sprintf(format, args...))
+}
+
 // text checks a text that must be there. It says whether it is as it should be.
-func (f *faults) text(key, s string, most int) bool {
+func (a about) text(key, s string, most int) bool {
 	switch {
 	case s == "":
-		f.add("%s is absent", key)
+		a.add(key, "is absent")
 	case len(s) > most:
-		f.add("%s has %d bytes, want at most %d", key, len(s), most)
+		a.add(key, "has %d bytes, want at most %d", len(s), most)
 	case !utf8.ValidString(s):
-		f.add("%s is %s, want UTF-8", key, quote(s))
+		a.add(key, "is %s, want UTF-8", quote(s))
 	default:
 		return true
 	}
 	return false
 }
 
-func (f *faults) optional(key, s string, most int) bool { return s == "" || f.text(key, s, most) }
+// optional checks a text that may be absent. It says whether it is there as it should be.
+func (a about) optional(key, s string, most int) bool { return s != "" && a.text(key, s, most) }
 
-func (f *faults) part(key string, v float64) {
+func (a about) part(key string, v float64) {
 	if !(v >= 0 && v <= 1) {
-		f.add("%s is %v, want 0 to 1", key, v)
+		a.add(key, "is %v, want 0 to 1", v)
 	}
 }
 
-func (f *faults) count(key string, n, most int) {
+func (a about) bytes(key string, n, most int) {
 	if n < 0 || n > most {
-		f.add("%s is %d, want 0 to %d", key, n, most)
+		a.add(key, "is %d, want 0 to %d bytes", n, most)
 	}
 }
 
-// entry checks what one entry holds, by itself.
-func (f *faults) entry(e *entry) {
-	at := e.title()
-	switch v := e.value.(type) {
+// figure checks one that may be left open. It says whether it is there as it should be.
+func (a about) figure(key string, v *float64, most float64) bool {
+	if v != nil && !(*v >= 0 && *v <= most) {
+		a.add(key, "is %v, want 0 to %v", *v, most)
+		return false
+	}
+	return v != nil
+}
+
+// value checks what the entry is set to, by itself.
+func (a about) value() {
+	switch v := a.entry.value.(type) {
 	case *Team:
 		if !(v.Quota > 0) || math.IsInf(v.Quota, 0) {
-			f.add("%s requests_per_s is %v, want above 0 and finite", at, v.Quota)
+			a.add("requests_per_s", "is %v, want above 0 and finite", v.Quota)
 		}
 	case *Service:
-		f.service(at, v)
+		a.service(v)
 	case *Pool:
-		f.pool(at, v)
+		a.pool(v)
 	case *float64:
-		f.part(at, *v)
+		a.part("share", *v)
 	}
 }
 
-func (f *faults) service(at string, s *Service) {
-	f.optional(at+" owner", s.Owner, MostName)
-	if f.optional(at+" backend", s.Backend, MostName) && s.Backend != "" {
+func (a about) service(s *Service) {
+	a.optional("owner", s.Owner, MostName)
+	if a.optional("backend", s.Backend, MostName) {
 		if _, _, err := net.SplitHostPort(s.Backend); err != nil {
-			f.add("%s backend is %s, want host:port", at, quote(s.Backend))
+			a.add("backend", "is %s, want host:port", quote(s.Backend))
 		}
 	}
 	if len(s.Contracts) == 0 {
-		f.add("%s contract is absent", at)
+		a.add("contract", "is absent")
 	}
 	for i := range s.Contracts {
-		c := &s.Contracts[i]
-		key := at + " contract " + quote(c.Class)
-		if c.Class == "" {
-			key = fmt.Sprintf("%s contract[%d]", at, i)
-		}
-		f.contract(key, c)
+		about{a.f, a.entry, &s.Contracts[i], i}.check()
 	}
 }
 
-// contract checks what can be said of a contract wherever it is in force. What it
+// check looks at what can be said of a contract wherever it is in force. What it
 // leaves open, the platform may say: that is checked where the platform is known.
-func (f *faults) contract(at string, c *Contract) {
-	f.text(at+" class", c.Class, MostName)
-	if f.optional(at+" path", c.Path, MostName) && c.Path != "" && !strings.HasPrefix(c.Path, "/") {
-		f.add("%s path is %s, want one that starts with /", at, quote(c.Path))
+func (a about) check() {
+	c := a.contract
+	a.text("class", c.Class, MostName)
+	if a.optional("path", c.Path, MostName) && !strings.HasPrefix(c.Path, "/") {
+		a.add("path", "is %s, want one that starts with /", quote(c.Path))
 	}
 	switch c.Effect {
 	case "", "repeatable", "keyed", "once":
 	default:
-		f.add("%s effect is %s, want repeatable, keyed or once", at, quote(c.Effect))
-	}
-	figure := func(name string, v *float64, most float64) bool {
-		if v != nil && !(*v >= 0 && *v <= most) {
-			f.add("%s %s is %v, want 0 to %v", at, name, *v, most)
-			return false
-		}
-		return v != nil
+		a.add("effect", "is %s, want repeatable, keyed or once", quote(c.Effect))
 	}
-	aim, deadline := figure("aim_ms", c.AimMS, hourMS), figure("deadline_ms", c.DeadlineMS, hourMS)
-	window := figure("window_ms", c.WindowMS, hourMS)
-	figure("worth", c.Worth, mostWorth)
-	figure("late_worth", c.LateWorth, 1)
-	if figure("skip_worth", c.SkipWorth, 1) && *c.SkipWorth > 0 && c.Calls != nil && !*c.Calls {
-		f.add("%s skip_worth is %v, and the class makes no calls", at, *c.SkipWorth)
+	aim, deadline := a.figure("aim_ms", c.AimMS, hourMS), a.figure("deadline_ms", c.DeadlineMS, hourMS)
+	window := a.figure("window_ms", c.WindowMS, hourMS)
+	a.figure("worth", c.Worth, mostWorth)
+	a.figure("late_worth", c.LateWorth, 1)
+	if a.figure("skip_worth", c.SkipWorth, 1) && *c.SkipWorth > 0 && c.Calls != nil && !*c.Calls {
+		a.add("skip_worth", "is %v, and the class makes no calls", *c.SkipWorth)
 	}
 	if deadline && micros(c.DeadlineMS) == 0 {
-		f.add("%s deadline_ms is %v, want a microsecond at least", at, *c.DeadlineMS)
+		a.add("deadline_ms", "is %v, want a microsecond at least", *c.DeadlineMS)
 		deadline = false
 	}
 	if aim && deadline && micros(c.AimMS) > micros(c.DeadlineMS) {
-		f.add("%s aim_ms is past the deadline", at)
+		a.add("aim_ms", "is past the deadline")
 	}
 	if c.Effect == "keyed" && window && deadline && micros(c.WindowMS) < micros(c.DeadlineMS) {
-		f.add("%s window_ms is shorter than the deadline: a later try would run again", at)
+		a.add("window_ms", "is shorter than the deadline: a later try would run again")
 	}
-	f.count(at+" max_body", c.MaxBody, mostBody)
-	f.count(at+" max_result", c.MaxResult, mostBody)
+	a.bytes("max_body", c.MaxBody, mostBody)
+	a.bytes("max_result", c.MaxResult, mostBody)
 	body, held := c.MaxBody, c.HeldKB
 	if body == 0 {
 		body = defaultBody
@@ -149,38 +169,38 @@
 		held = defaultHeld
 	}
 	if !(held > 0) || math.IsInf(held, 0) {
-		f.add("%s held_kb is %v, want above 0 and finite", at, held)
+		a.add("held_kb", "is %v, want above 0 and finite", held)
 	} else if held*1024 < float64(body) {
-		f.add("%s held_kb is %v, want room for max_body at least", at, held)
+		a.add("held_kb", "is %v, want room for max_body at least", held)
 	}
 }
 
 // micros is a time as it is served by.
 func micros(ms *float64) int64 { return int64(*ms * 1000) }
 
-func (f *faults) pool(at string, p *Pool) {
+func (a about) pool(p *Pool) {
 	if p.Name == pool.Rest {
-		f.add("%s name is that of all classes which no other pool names", at)
+		a.add("name", "is that of the classes which no pool names")
 	}
 	if len(p.Classes) == 0 {
-		f.add("%s classes is empty", at)
+		a.add("classes", "is empty")
 	}
 	for _, class := range p.Classes {
-		f.text(at+" class", class, MostName)
+		a.text("class", class, MostName)
 	}
-	f.part(at+" share", p.Share)
-	f.part(at+" most", p.Most)
-	f.part(at+" reserve", p.Reserve)
-	f.part(at+" memory", p.Memory)
-	f.part(at+" memory_most", p.MemoryMost)
+	a.part("share", p.Share)
+	a.part("most", p.Most)
+	a.part("reserve", p.Reserve)
+	a.part("memory", p.Memory)
+	a.part("memory_most", p.MemoryMost)
 	if p.Most > 0 && p.Most < p.Share {
-		f.add("%s most is %v, less than the share of %v", at, p.Most, p.Share)
+		a.add("most", "is %v, less than the share of %v", p.Most, p.Share)
 	}
 	if p.MemoryMost > 0 && p.MemoryMost < ownMemory(p) {
-		f.add("%s memory_most is %v, less than its own %v", at, p.MemoryMost, ownMemory(p))
+		a.add("memory_most", "is %v, less than its own %v", p.MemoryMost, ownMemory(p))
 	}
 	if p.Waiting < 0 {
-		f.add("%s waiting is %d, want 0 or more", at, p.Waiting)
+		a.add("waiting", "is %d, want 0 or more", p.Waiting)
 	}
 }
 
--- a/internal/control/document/edit.go
+++ b/internal/control/document/edit.go
@@ -20,7 +20,6 @@
 	drop   bool
 	value  any // what it is set to, a copy of its own: *Team, *Service, *Pool or *float64
 	bucket int
-	old    any  // what is there before; nil = nothing
 	skip   bool // nothing is to be done: it is as it was, or at fault
 }
 
@@ -125,8 +124,15 @@
 	for i := range entries {
 		next.takeOut(txn, &entries[i], &f)
 	}
+	// The tree copies a node once for a run of changes near it, not once for each,
+	// as long as they are not too many: so the entries go in by bucket.
+	for _, i := range byBucket(entries) {
+		entries[i].putIn(txn)
+	}
 	for i := range entries {
-		next.putIn(txn, &entries[i], &f)
+		if e := &entries[i]; e.kept() {
+			next.index(txn, e, e.value, &f)
+		}
 	}
 	next.check(txn.Root(), entries, &f)
 	if len(f) > 0 {
@@ -159,7 +165,7 @@
 			f.add("change[%d] %w", i, err)
 			continue
 		}
-		if e.kind != kindReserve && !f.text(e.title()+" name", e.name, MostName) {
+		if e.kind != kindReserve && !(about{f: f, entry: &e}).text("name", e.name, MostName) {
 			continue
 		}
 		if seen[id{e.kind, e.name}] {
@@ -172,64 +178,81 @@
 	}
 	slices.SortStableFunc(entries, byRank)
 	for i := range entries {
-		f.entry(&entries[i])
+		about{f: f, entry: &entries[i]}.value()
 	}
 	return entries
 }
 
+// byBucket returns the places of the entries in the order of the tree's keys.
+func byBucket(entries []entry) []int {
+	order := make([]int, len(entries))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortStableFunc(order, func(i, j int) int {
+		a, b := &entries[i], &entries[j]
+		return cmp.Or(cmp.Compare(a.bucket, b.bucket), cmp.Compare(a.kind, b.kind), strings.Compare(a.name, b.name))
+	})
+	return order
+}
+
+// zero says that the entry is a reserve of 0, which is not kept.
+func (e *entry) zero() bool {
+	v, ok := e.value.(*float64)
+	return ok && *v == 0
+}
+
+// kept says that the entry is to be in the tree and is not there as it is.
+func (e *entry) kept() bool { return !e.skip && !e.drop && !e.zero() }
+
 // takeOut looks up what the entry is now, and takes it, or what the indexes say of it, out.
 func (s *state) takeOut(txn *iradix.Txn[any], e *entry, f *faults) {
 	key := entryKey(e.kind, e.name, e.bucket)
-	if old, ok := txn.Get(key); ok {
-		e.old = old
-	}
-	zero := e.kind == kindReserve && !e.drop && *e.value.(*float64) == 0 // is not kept
+	old, there := txn.Get(key)
 	switch {
-	case e.drop && e.old == nil:
+	case e.drop && !there:
 		f.add("%s is not there, and cannot be dropped", e.title())
 		e.skip = true
-	case !e.drop && e.old != nil && reflect.DeepEqual(e.old, e.value), zero && e.old == nil:
-		e.skip = true
+	case e.drop:
+	case there:
+		e.skip = reflect.DeepEqual(old, e.value)
+	default:
+		e.skip = e.zero()
 	}
-	if e.skip || e.old == nil {
+	if e.skip || !there {
 		return
 	}
-	s.index(txn, e.old, "", false, nil)
-	if e.drop || zero {
+	s.index(txn, nil, old, nil)
+	if !e.kept() {
 		txn.Delete(key)
 	}
 }
 
-// putIn sets the entry, and what the indexes say of it.
-func (s *state) putIn(txn *iradix.Txn[any], e *entry, f *faults) {
-	if e.skip || e.drop || e.kind == kindReserve && *e.value.(*float64) == 0 {
-		return
+func (e *entry) putIn(txn *iradix.Txn[any]) {
+	if e.kept() {
+		txn.Insert(entryKey(e.kind, e.name, e.bucket), e.value)
 	}
-	txn.Insert(entryKey(e.kind, e.name, e.bucket), e.value)
-	s.index(txn, e.value, e.title(), true, f)
 }
 
-// index enters an entry in the indexes and sums, or takes it out. A name that
-// another entry has is a fault.
-func (s *state) index(txn *iradix.Txn[any], value any, title string, in bool, f *faults) {
+// index enters the value of e in the indexes and sums, or, where e is nil, takes a
+// value out. A name that another entry has is a fault.
+func (s *state) index(txn *iradix.Txn[any], e *entry, value any, f *faults) {
 	n := 1
-	if !in {
+	if e == nil {
 		n = -1
 	}
-	own := func(index byte, key, what, name, other string) bool {
-		if key == "" || len(key) > MostName {
-			return false // named as a fault already
-		}
-		if !in {
+	own := func(a about, index byte, key, name, field, other string) {
+		switch {
+		case key == "" || len(key) > MostName: // named as a fault already, or not there
+		case e == nil:
 			txn.Delete(indexKey(index, key))
-			return true
-		}
-		if old, ok := txn.Get(indexKey(index, key)); ok {
-			f.add("%s %s is %s, want one of its own: %s %s has it", title, what, quote(key), other, quote(old.(string)))
-			return false
+		default:
+			if old, taken := txn.Get(indexKey(index, key)); taken {
+				a.add(field, "is %s, want one of its own: %s %s has it", quote(key), other, quote(old.(string)))
+				return
+			}
+			txn.Insert(indexKey(index, key), name)
 		}
-		txn.Insert(indexKey(index, key), name)
-		return true
 	}
 	switch v := value.(type) {
 	case *Team:
@@ -238,27 +261,27 @@
 		s.services += n
 		s.routes += n * len(v.Contracts)
 		for i := range v.Contracts {
-			c := &v.Contracts[i]
-			own(inClasses, c.Class, "contract "+quote(c.Class)+" class", v.Name, "service")
-			own(inPaths, c.Path, "contract "+quote(c.Class)+" path", v.Name, "service")
+			a := about{f, e, &v.Contracts[i], i}
+			own(a, inClasses, a.contract.Class, v.Name, "class", "service")
+			own(a, inPaths, a.contract.Path, v.Name, "path", "service")
 		}
-		if v.Owner != "" && len(v.Owner) <= MostName {
-			if key := ownerKey(v.Owner, v.Name); in {
-				txn.Insert(key, v.Name)
-			} else {
-				txn.Delete(key)
-			}
+		switch key := ownerKey(v.Owner, v.Name); {
+		case v.Owner == "" || len(v.Owner) > MostName:
+		case e == nil:
+			txn.Delete(key)
+		default:
+			txn.Insert(key, v.Name)
 		}
 	case *Pool:
 		s.pools += n
 		s.pooled += n * len(v.Classes)
 		for _, class := range v.Classes {
-			own(inPooled, class, "class", v.Name, "pool")
+			own(about{f: f, entry: e}, inPooled, class, v.Name, "class", "pool")
 		}
-		if in {
-			txn.Insert(indexKey(inPools, v.Name), v)
-		} else {
+		if e == nil {
 			txn.Delete(indexKey(inPools, v.Name))
+		} else {
+			txn.Insert(indexKey(inPools, v.Name), v)
 		}
 	}
 }
--- a/internal/control/document/state.go
+++ b/internal/control/document/state.go
@@ -30,9 +30,12 @@
 	content                                Digest
 }
 
-// page holds the digests of neighbouring buckets, so that a version copies one
-// page for a change, not all 1,024.
-type page [pageSize]Digest
+// page holds the digests of neighbouring buckets and one over them, so that for a
+// change of one entry a version copies and hashes two lists of 32, not all 1,024.
+type page struct {
+	buckets [pageSize]Digest
+	digest  Digest
+}
 
 // The buckets. Which one an entry lies in, and so every digest, depends on these.
 const (
@@ -103,9 +106,10 @@
 var emptyState = sync.OnceValue(func() *state {
 	s := &state{tree: iradix.New[any]()}
 	none := new(page)
-	for i := range none {
-		none[i] = bucketDigest(s.tree.Root(), i) // all alike: nothing lies in any
+	for i := range none.buckets {
+		none.buckets[i] = bucketDigest(s.tree.Root(), i) // all alike: nothing lies in any
 	}
+	none.close()
 	for i := range s.pages {
 		s.pages[i] = none
 	}
@@ -132,9 +136,10 @@
 	}
 }
 
-// What is hashed begins with one of these, so that no bucket's words are a root's.
+// What is hashed begins with one of these, so that no digest of one level is one of another.
 const (
 	hashBucket = 'b'
+	hashPage   = 'g'
 	hashRoot   = 'r'
 )
 
@@ -155,14 +160,22 @@
 	return Digest(h.Sum(nil))
 }
 
-// rootDigest is SHA-256 over the digests of all buckets, in order.
+// close makes the page's digest: SHA-256 over those of its buckets, in order.
+func (p *page) close() {
+	h := sha256.New()
+	h.Write([]byte{hashPage})
+	for i := range p.buckets {
+		h.Write(p.buckets[i][:])
+	}
+	p.digest = Digest(h.Sum(nil))
+}
+
+// rootDigest is SHA-256 over the digests of the pages, in order.
 func (s *state) rootDigest() Digest {
 	h := sha256.New()
 	h.Write([]byte{hashRoot})
 	for _, p := range s.pages {
-		for i := range p {
-			h.Write(p[i][:])
-		}
+		h.Write(p.digest[:])
 	}
 	return Digest(h.Sum(nil))
 }
@@ -176,7 +189,12 @@
 			p := *s.pages[at]
 			s.pages[at], own[at] = &p, true
 		}
-		s.pages[at][bucket%pageSize] = bucketDigest(s.tree.Root(), bucket)
+		s.pages[at].buckets[bucket%pageSize] = bucketDigest(s.tree.Root(), bucket)
+	}
+	for at := range own {
+		if own[at] {
+			s.pages[at].close()
+		}
 	}
 	s.content = s.rootDigest()
 }
--- a/internal/control/document/version.go
+++ b/internal/control/document/version.go
@@ -105,10 +105,11 @@
 // check names the faults of a header's own figures and texts.
 func (h *Header) check() error {
 	var f faults
+	a := about{f: &f}
 	if h.Number == 0 || h.Number > math.MaxInt64 {
-		f.add("number is %d, want 1 to %d", h.Number, int64(math.MaxInt64))
+		a.add("number", "is %d, want 1 to %d", h.Number, int64(math.MaxInt64))
 	}
-	f.text("author", h.Author, MostText)
-	f.text("reason", h.Reason, MostText)
+	a.text("author", h.Author, MostText)
+	a.text("reason", h.Reason, MostText)
 	return f.join()
 }
