Reload: a fleet of more than 256 teams can be changed

Places are now bounded by what a fleet has: 65,536 teams and 8,192 classes, those dropped since the start included, and the error says which of the two it is. The merge finds places by maps: it looked through all for each name. TestManyTeamsChange (260 and 21,000 teams, one changed) fails without the change; TestPlacesAreBounded walks to both new bounds, one by one at the end.

--- a/internal/config/succeed.go
+++ b/internal/config/succeed.go
@@ -6,11 +6,16 @@
 	"slices"
 
 	"kiteslip"
+	"kiteslip/internal/control/document"
 )
 
-// placesMost bounds the classes, and the teams, that one process has a place
-// for, those included that are no longer in the file.
-const placesMost = 256
+// The bounds of the classes, and of the teams, that one process has a place for,
+// those included that are no longer in the file: some kilobytes for each class,
+// some hundred bytes for each team.
+const (
+	mostClassPlaces = document.MostRoutes
+	mostTeamPlaces  = document.MostTeams
+)
 
 // Succeed lays next, which was read later, over c, which is in use, and returns
 // the outcome; c stays as it is. Classes and teams keep their places. What only
@@ -35,8 +40,11 @@
 	m.UWSGI.Listen = c.UWSGI.Listen
 	m.classes(c, next)
 	m.tenants(c, next)
-	if len(m.Classes) > placesMost || len(m.Tenants) > placesMost {
-		errs.add("settings", "bring the classes or teams since the start to over %d: restart", placesMost)
+	if n := len(m.Classes); n > mostClassPlaces {
+		errs.add("settings", "bring the classes since the start to %d, over %d, and a class's place is never used again: restart", n, mostClassPlaces)
+	}
+	if n := len(m.Tenants); n > mostTeamPlaces {
+		errs.add("settings", "bring the teams, those dropped since the start included, to %d, over %d: restart", n, mostTeamPlaces)
 	}
 	if len(errs) > 0 {
 		return nil, nil, errors.Join(errs...)
@@ -53,13 +61,19 @@
 		m.ClassesOff[i] = true
 		m.UWSGI.Contracts[i].Path = "" // leads here no longer
 	}
+	type promise struct {
+		name   string
+		effect kiteslip.Effect
+	}
+	places := make(map[promise]int, len(c.Classes))
+	for i, name := range c.Classes {
+		places[promise{name, c.Module.Classes[i].Effect}] = i
+	}
 	for i, name := range next.Classes {
 		class := next.Module.Classes[i]
-		at := 0
-		for at < len(m.Classes) && (m.Classes[at] != name || m.Module.Classes[at].Effect != class.Effect) {
-			at++
-		}
-		if at == len(m.Classes) {
+		at, known := places[promise{name, class.Effect}]
+		if !known {
+			at = len(m.Classes)
 			m.Classes, m.Module.Classes = append(m.Classes, name), append(m.Module.Classes, class)
 			m.UWSGI.Contracts, m.Backends = append(m.UWSGI.Contracts, next.UWSGI.Contracts[i]), append(m.Backends, "")
 			m.MaxResults, m.ClassesOff = append(m.MaxResults, 0), append(m.ClassesOff, false)
@@ -76,9 +90,15 @@
 	for i := range m.TenantsOff {
 		m.TenantsOff[i] = true
 	}
+	places := make(map[string]int, len(c.Tenants))
+	for i, name := range c.Tenants {
+		places[name] = i
+	}
 	for i, name := range next.Tenants {
-		at := place(&m.Tenants, name)
-		if at == len(m.Module.Tenants) {
+		at, known := places[name]
+		if !known {
+			at = len(m.Tenants)
+			m.Tenants = append(m.Tenants, name)
 			m.Module.Tenants, m.TenantsOff = append(m.Module.Tenants, kiteslip.Tenant{}), append(m.TenantsOff, false)
 		}
 		m.Module.Tenants[at], m.TenantsOff[at] = next.Module.Tenants[i], false
