--- a/internal/control/document/edit.go
+++ b/internal/control/document/edit.go
@@ -189,7 +189,7 @@
 	for i := range order {
 		order[i] = i
 	}
-	slices.SortStableFunc(order, func(i, j int) int {
+	slices.SortFunc(order, func(i, j int) int {
 		a, b := &entries[i], &entries[j]
 		return cmp.Or(cmp.Compare(a.bucket, b.bucket), cmp.Compare(a.kind, b.kind), strings.Compare(a.name, b.name))
 	})
--- /dev/null
+++ b/internal/control/document/wire_test.go
@@ -0,0 +1,421 @@
+package document
+
+import (
+	"bytes"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"os"
+	"reflect"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// goldenDelta is a small delta with a figure in each place where the form could change.
+func goldenDelta(t testing.TB) *Delta {
+	return mustDraft(t, small(t),
+		team("ana", 7.5),
+		Change{Service: &Service{Name: "maps", Owner: "ana", Backend: "127.0.0.1:1", Contracts: []Contract{{Class: "draw", Path: "/draw",
+			Effect: "keyed", AimMS: ref(0.0), DeadlineMS: ref(99.5), WindowMS: ref(1e5), Worth: ref(0.3), LateWorth: ref(1.0),
+			MaxBody: 3000, MaxResult: 4000, HeldKB: 17.1, Calls: ref(false), SkipWorth: ref(0.0)}}}},
+		Change{Drop: true, Service: &Service{Name: "till"}},
+		Change{Pool: &Pool{Name: "quick", Classes: []string{"draw"}, Share: 0.5, Most: 0.75, Reserve: 1, Memory: 0.125, MemoryMost: 0.25, Waiting: 9}},
+		Change{Reserve: ref(0.0)},
+		Change{Drop: true, Team: &Team{Name: "idle"}})
+}
+
+// TestGolden holds the form, and with it all digests, to the bytes that are kept:
+// what one release words, the next must read, and find the same digests.
+func TestGolden(t *testing.T) {
+	delta := goldenDelta(t)
+	words, err := delta.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	text, err := os.ReadFile("testdata/delta.hex")
+	if err != nil {
+		t.Fatal(err)
+	}
+	golden, err := hex.DecodeString(strings.Join(strings.Fields(string(text)), ""))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !bytes.Equal(words, golden) {
+		t.Errorf("the form has changed:\n%x, kept is\n%x", words, golden)
+	}
+	read, err := DecodeDelta(golden)
+	if err != nil || !reflect.DeepEqual(read, delta) {
+		t.Errorf("%+v (%v), want %+v", read, err, delta)
+	}
+	if got, err := small(t).Apply(read); err != nil || got.Digest() != delta.Header.Digest() {
+		t.Errorf("what is kept can't be applied: %v", err)
+	}
+}
+
+// larger is a version whose snapshot, and a delta on it that, are compressed.
+func larger(t testing.TB) (*Document, *Delta) {
+	d := version(t, fleet(60, 12))
+	var changes []Change
+	for i := range 50 {
+		changes = append(changes, team(fmt.Sprintf("team-%05d", i), float64(i)+0.5))
+	}
+	return d, mustDraft(t, d, changes...)
+}
+
+// sameVersion says that nothing that can be asked of the two differs.
+func sameVersion(a, b *Document) bool {
+	return a.Digest() == b.Digest() && a.Header() == b.Header() && reflect.DeepEqual(a.Content(), b.Content())
+}
+
+// TestFlippedDelta: whatever byte of a delta changes on its way, the outcome is an
+// error or the version that was meant, in all its parts.
+func TestFlippedDelta(t *testing.T) {
+	big, bigDelta := larger(t)
+	for _, c := range []struct {
+		d     *Document
+		delta *Delta
+		form  byte
+	}{{small(t), goldenDelta(t), formDelta}, {big, bigDelta, formDeltaPacked}} {
+		want, err := c.d.Apply(c.delta)
+		if err != nil {
+			t.Fatal(err)
+		}
+		words, err := c.delta.Encode()
+		if err != nil || words[0] != c.form {
+			t.Fatalf("form %#x, want %#x (%v)", words[0], c.form, err)
+		}
+		try := func(what string, words []byte) {
+			delta, err := DecodeDelta(words)
+			if err != nil {
+				if delta != nil {
+					t.Errorf("%s: a delta and %v", what, err)
+				}
+				return
+			}
+			if got, err := c.d.Apply(delta); err == nil && !sameVersion(got, want) {
+				t.Errorf("%s: another version was made", what)
+			}
+		}
+		everyFlip(words, try)
+	}
+}
+
+// TestFlippedSnapshot does the same for snapshots.
+func TestFlippedSnapshot(t *testing.T) {
+	big, _ := larger(t)
+	for _, c := range []struct {
+		d    *Document
+		form byte
+	}{{small(t), formSnapshot}, {big, formSnapshotPacked}} {
+		words, err := c.d.Snapshot()
+		if err != nil || words[0] != c.form {
+			t.Fatalf("form %#x, want %#x (%v)", words[0], c.form, err)
+		}
+		everyFlip(words, func(what string, words []byte) {
+			if got, err := Open(words); err == nil && !sameVersion(got, c.d) || (err != nil) == (got != nil) {
+				t.Errorf("%s: another version was opened (%v)", what, err)
+			}
+		})
+	}
+}
+
+// everyFlip tries the words with each bit of each byte turned, each byte made 0
+// and 255, cut after each byte, and with one more.
+func everyFlip(words []byte, try func(what string, words []byte)) {
+	for i, was := range words {
+		for _, now := range []byte{was ^ 1, was ^ 2, was ^ 4, was ^ 8, was ^ 16, was ^ 32, was ^ 64, was ^ 128, 0, 255} {
+			if now != was {
+				words[i] = now
+				try(fmt.Sprintf("byte %d is %#x for %#x", i, now, was), words)
+			}
+		}
+		words[i] = was
+		try(fmt.Sprintf("cut after %d bytes", i), words[:i])
+	}
+	try("one byte more", append(bytes.Clone(words), 0))
+}
+
+// TestLie: a record whose own digests agree is checked entry by entry all the same.
+func TestLie(t *testing.T) {
+	d := small(t)
+	h := d.Header()
+	snapshotOf := func(h Header, c Content) []byte {
+		return pack(formSnapshot, formSnapshotPacked, h.Digest(), encode(&snapshot{h, c}))
+	}
+	if _, err := Open(snapshotOf(h, d.Content())); err != nil {
+		t.Fatal(err)
+	}
+	twice, other, lacking := d.Content(), d.Content(), d.Content()
+	twice.Teams = append(twice.Teams, twice.Teams[0])
+	other.Teams[0].Quota++
+	lacking.Teams = lacking.Teams[1:] // ana, who owns maps
+	nobody, numberless := h, h
+	nobody.Author, numberless.Number = "", 0
+	for name, c := range map[string]struct {
+		words []byte
+		want  string
+		is    error
+	}{
+		"a team twice":        {snapshotOf(h, twice), `team "ana" is named twice`, nil},
+		"an owner less":       {snapshotOf(h, lacking), `service "maps" owner is "ana", which is no team`, nil},
+		"another content":     {snapshotOf(h, other), "document: the content is not the one that the header names", ErrDigest},
+		"nothing in it":       {snapshotOf(h, Content{}), "document: the content is not the one that the header names", ErrDigest},
+		"nobody's":            {snapshotOf(nobody, d.Content()), "author is absent", nil},
+		"no number":           {snapshotOf(numberless, d.Content()), "number is 0, want 1 to 9223372036854775807", nil},
+		"the digest of other": {append([]byte{formSnapshot}, snapshotOf(nobody, Content{})[1:]...), "document: the content is not", ErrDigest},
+	} {
+		got, err := Open(c.words)
+		if got != nil || err == nil || !strings.Contains(err.Error(), c.want) || c.is != nil && !errors.Is(err, c.is) {
+			t.Errorf("%s: %v, want %s", name, err, c.want)
+		}
+	}
+	words, err := goldenDelta(t).Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	words[1] ^= 1
+	if _, err := DecodeDelta(words); !errors.Is(err, ErrDigest) {
+		t.Errorf("a delta with another digest: %v", err)
+	}
+}
+
+// TestForms: a delta is no snapshot, and a snapshot no delta.
+func TestForms(t *testing.T) {
+	snapshot, err := small(t).Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	delta, err := goldenDelta(t).Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Open(delta); err == nil || !strings.Contains(err.Error(), "form 0x11, want 0x21 or 0x22") {
+		t.Error(err)
+	}
+	if _, err := DecodeDelta(snapshot); err == nil || !strings.Contains(err.Error(), "form 0x21, want 0x11 or 0x12") {
+		t.Error(err)
+	}
+	if _, err := (*Delta)(nil).Encode(); err == nil {
+		t.Error("no delta is worded")
+	}
+}
+
+// TestEmptyVersions: version 0, and one from which all was dropped, travel too.
+func TestEmptyVersions(t *testing.T) {
+	d, err := Empty().Apply(mustDraft(t, Empty(), team("a", 1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	none, err := d.Apply(mustDraft(t, d, Change{Drop: true, Team: &Team{Name: "a"}}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if none.Header().Content != Empty().Header().Content {
+		t.Error("an emptied version has another content than the empty one")
+	}
+	for _, d := range []*Document{Empty(), none} {
+		words, err := d.Snapshot()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got, err := Open(words); err != nil || !sameVersion(got, d) {
+			t.Errorf("version %d: %v", d.Header().Number, err)
+		}
+	}
+}
+
+// TestBombs: a few bytes that unpack into many, or that word many small things,
+// are refused before they take memory.
+func TestBombs(t *testing.T) {
+	h := small(t).Header()
+	list := func(n int, element byte) []byte { // of n elements of a byte each
+		return append([]byte{0x9a, byte(n >> 24), byte(n >> 16), byte(n >> 8), byte(n)}, bytes.Repeat([]byte{element}, n)...)
+	}
+	deltaOf := func(changes []byte) []byte {
+		record := append(append([]byte{0xa2, 0x01}, encode(&h)...), 0x02)
+		return pack(formDelta, formDeltaPacked, h.Digest(), append(record, changes...))
+	}
+	repeat := func(n int, element []byte) []byte {
+		return append([]byte{0x9a, byte(n >> 24), byte(n >> 16), byte(n >> 8), byte(n)}, bytes.Repeat(element, n)...)
+	}
+	contracts := append([]byte{0xa1, 0x03, 0xa1, 0x04}, list(MostRoutes, 0xa0)...)           // a service with 8,192 of nothing
+	classes := append([]byte{0xa1, 0x04, 0xa1, 0x02}, list(MostRoutes, 0x60)...)             // a pool with 8,192 empty ones
+	deep := append(bytes.Repeat([]byte{0x81}, 1<<20), 0x80)                                  // lists in lists
+	zeros := packer().EncodeAll(make([]byte, MostBytes+1), make([]byte, formBytes))          // too many
+	two := packer().EncodeAll(make([]byte, MostBytes), packer().EncodeAll([]byte("x"), nil)) // frames, together too many
+	for name, words := range map[string][]byte{
+		"over the bound":         zeros,
+		"frames over the bound":  append(make([]byte, formBytes), two...),
+		"many contracts":         deltaOf(repeat(200, contracts)),
+		"many classes":           deltaOf(repeat(1200, classes)),
+		"many changes":           deltaOf(list(mostChanges+1, 0xa0)),
+		"changes cut short":      deltaOf([]byte{0x9a, 0x00, 0x02, 0x00, 0x00, 0xa0}),
+		"deep":                   deltaOf(deep),
+		"longer than any delta":  make([]byte, formBytes+MostBytes+1),
+		"an endless list":        deltaOf([]byte{0x9f, 0xa0, 0xff}),
+		"a tag":                  deltaOf([]byte{0xc1, 0x80}),
+		"a field twice":          deltaOf(repeat(1, []byte{0xa2, 0x01, 0xf4, 0x01, 0xf4})),
+		"an unknown field":       deltaOf(repeat(1, []byte{0xa1, 0x18, 0x63, 0xf4})),
+		"text that is no UTF-8":  deltaOf(repeat(1, []byte{0xa1, 0x02, 0xa1, 0x01, 0x61, 0xff})),
+		"a number that is large": deltaOf(repeat(1, []byte{0xa1, 0x04, 0xa1, 0x08, 0x1b, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff})),
+	} {
+		if words[0] == 0 {
+			words[0] = formDeltaPacked
+		}
+		_, before := heap()
+		delta, err := DecodeDelta(words)
+		_, after := heap()
+		if err == nil || delta != nil {
+			t.Errorf("%s: taken", name)
+		}
+		if made := after - before; made > 8*MostBytes {
+			t.Errorf("%s: %d bytes of memory for a delta that is refused (%v)", name, made, err)
+		}
+	}
+}
+
+// largest is the longest content that passes all checks.
+func largest() Content {
+	name := func(what string, i int) string { return fmt.Sprintf("%s%0*d", what, MostName-len(what), i) }
+	var c Content
+	for i := range MostTeams {
+		c.Teams = append(c.Teams, Team{name("t", i), 0.1 + float64(i)})
+	}
+	for i := range MostServices {
+		c.Services = append(c.Services, Service{Name: name("s", i), Owner: c.Teams[i].Name, Backend: name("", i)[:MostName-3] + ":99",
+			Contracts: []Contract{{Class: name("c", i), Path: name("/", i), Effect: "repeatable", AimMS: ref(0.1), DeadlineMS: ref(0.2),
+				WindowMS: ref(0.3), Worth: ref(0.1), LateWorth: ref(0.1), MaxBody: mostBody, MaxResult: mostBody, HeldKB: 1025.1,
+				Calls: ref(true), SkipWorth: ref(0.1)}}})
+	}
+	for i := range MostPools {
+		p := Pool{Name: name("p", i), Share: 0.01, Most: 0.1, Reserve: 0.1, Memory: 0.01, MemoryMost: 0.1, Waiting: 1 << 40}
+		for j := range MostRoutes / MostPools {
+			p.Classes = append(p.Classes, name("c", i*MostRoutes/MostPools+j))
+		}
+		c.Pools = append(c.Pools, p)
+	}
+	c.CheapReserve = 0.1
+	return c
+}
+
+// TestBounds: as much as the bounds allow can be held, worded and opened; one more
+// of anything is a fault that names the bound; and a delta that would not go into a
+// message is refused when it is drafted.
+func TestBounds(t *testing.T) {
+	c := largest()
+	s, _, err := emptyState().edit(c.changes())
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := strings.Repeat("x", MostText)
+	h := Header{Number: 1 << 40, Parent: Empty().Digest(), Content: s.content, Author: text, Reason: text, Time: 1 << 50}
+	d := &Document{header: h, digest: h.Digest(), state: s}
+	words, err := d.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, err := Open(words); err != nil || got.Digest() != d.Digest() {
+		t.Error(err)
+	}
+	_, err = d.Draft([]Change{team("more", 1), service("more", Contract{Class: "more"}), {Pool: &Pool{Name: "more", Classes: []string{"more"}}}}, by)
+	want := "there are 65537 teams, want at most 65536\nthere are 8193 services, want at most 8192\n" +
+		"there are 8193 contracts, want at most 8192\nthere are 65 pools, want at most 64\n" +
+		"there are 8193 classes in pools, want at most 8192"
+	if err == nil || err.Error() != want {
+		t.Errorf("%v, want\n%s", err, want)
+	}
+	var all []Change
+	for i := range c.Teams {
+		was := c.Teams[i].Name
+		c.Teams[i].Name = "T" + was[1:]
+		all = append(all, Change{Team: &c.Teams[i]}, Change{Drop: true, Team: &Team{Name: was}})
+	}
+	for i := range c.Services {
+		c.Services[i].Owner = c.Teams[i].Name
+		all = append(all, Change{Service: &c.Services[i]})
+	}
+	if _, err := d.Draft(all, by); err == nil || !strings.Contains(err.Error(), "want at most 16777216") {
+		t.Errorf("a delta that no message can hold: %v", err)
+	}
+	if _, err := Empty().Draft(make([]Change, mostChanges+1), by); err == nil || err.Error() != "the delta has 147587 changes, want at most 147586" {
+		t.Errorf("a delta of too many changes: %v", err)
+	}
+}
+
+// TestRandomBytes: nothing that comes makes a panic, or a version out of nothing.
+func TestRandomBytes(t *testing.T) {
+	d := small(t)
+	delta, err := goldenDelta(t).Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	snapshot, err := d.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		words := rapid.SliceOfN(rapid.Byte(), 0, 200).Draw(t, "bytes")
+		if len(words) > 0 && rapid.Bool().Draw(t, "of a form") {
+			words[0] = rapid.SampledFrom([]byte{formDelta, formDeltaPacked, formSnapshot, formSnapshotPacked}).Draw(t, "form")
+		}
+		// Or a valid one with a piece replaced, whose header is left as it is, so
+		// that the entries are reached.
+		if rapid.Bool().Draw(t, "spliced") {
+			whole := rapid.SampledFrom([][]byte{delta, snapshot}).Draw(t, "whole")
+			from := rapid.IntRange(formBytes, len(whole)).Draw(t, "from")
+			to := rapid.IntRange(from, len(whole)).Draw(t, "to")
+			words = append(append(bytes.Clone(whole[:from]), words...), whole[to:]...)
+		}
+		tryAll(t, d, words)
+	})
+}
+
+// tryAll reads the words as all that they may be.
+func tryAll(t interface{ Fatalf(string, ...any) }, d *Document, words []byte) {
+	if delta, err := DecodeDelta(words); err == nil {
+		if next, err := d.Apply(delta); err == nil && (next.Header() != delta.Header || next.Digest() != delta.Header.Digest()) {
+			t.Fatalf("%x makes another version than it names", words)
+		}
+	}
+	if got, err := Open(words); err == nil {
+		if again, err := got.Snapshot(); err != nil {
+			t.Fatalf("%x is opened and can't be worded again: %v", words, err)
+		} else if other, err := Open(again); err != nil || !sameVersion(got, other) {
+			t.Fatalf("%x is opened, and as it is worded again it is another: %v", words, err)
+		}
+	}
+}
+
+func FuzzBytes(f *testing.F) {
+	d := small(f)
+	for _, delta := range []*Delta{goldenDelta(f), mustDraft(f, d, team("x", 1))} {
+		words, err := delta.Encode()
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(words)
+	}
+	big, _ := larger(f)
+	for _, d := range []*Document{Empty(), d, big} {
+		words, err := d.Snapshot()
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(words)
+	}
+	f.Fuzz(func(t *testing.T, words []byte) { tryAll(t, d, words) })
+}
+
+// TestHandMade: a delta made by hand, with whatever in it, is worded or refused.
+func TestHandMade(t *testing.T) {
+	for _, delta := range []*Delta{{}, {Changes: []Change{{}}}, {Changes: []Change{{Team: &Team{Name: "\xff"}, Pool: &Pool{}, Service: &Service{}}}}} {
+		if words, err := delta.Encode(); err == nil {
+			tryAll(t, Empty(), words)
+		}
+		if _, err := Empty().Apply(delta); err == nil {
+			t.Errorf("%+v is taken", delta)
+		}
+	}
+}
