--- /dev/null
+++ b/cmd/kiteslip/control.go
@@ -0,0 +1,196 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"strings"
+	"syscall"
+	"text/tabwriter"
+	"time"
+
+	"kiteslip/internal/config"
+	"kiteslip/internal/control/document"
+	"kiteslip/internal/control/follow"
+	"kiteslip/internal/control/protocol"
+	"kiteslip/internal/control/publish"
+)
+
+// controlCmd is kiteslip control: the role of the control machines, and what an
+// operator does with them.
+type controlCmd struct {
+	Serve   controlServe   `cmd:"" help:"Be a control machine until SIGTERM."`
+	Publish controlPublish `cmd:"" help:"Publish an operator's file as the next version."`
+	Status  controlStatus  `cmd:"" help:"Say what is in force, who follows, and who lags."`
+}
+
+type controlServe struct {
+	Config   string `required:"" type:"path" env:"KITESLIP_CONTROL" help:"The control machine's file, see deploy/control.toml."`
+	LogLevel string `enum:"debug,info,warn,error" default:"info" env:"KITESLIP_LOG" help:"The least level that is logged: ${enum}."`
+}
+
+// controlMemory is what the heap of a control machine keeps below where it can.
+const controlMemory = 512 << 20
+
+func (c *controlServe) Run() error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt) // first of all
+	defer stop()
+	cfg, err := config.LoadControlMachine(c.Config)
+	if err != nil {
+		return err
+	}
+	log, err := logger(c.LogLevel)
+	if err != nil {
+		return err
+	}
+	defer log.Sync() //nolint:errcheck // standard error cannot always be synced
+	debug.SetMemoryLimit(controlMemory)
+	set := publish.Settings{Name: cfg.Name, Region: cfg.Region, Listen: cfg.Listen, Folder: cfg.Folder, Deltas: cfg.Deltas, Log: log}
+	for _, f := range cfg.Follow {
+		set.Follow = append(set.Follow, follow.Publisher(f))
+	}
+	name := fnv.New64a()
+	name.Write([]byte(cfg.Name)) //nolint:errcheck // it has none
+	set.Seed = name.Sum64()
+	p, err := publish.Open(set)
+	if err != nil {
+		return err
+	}
+	return errors.Join(p.Serve(ctx), p.Close())
+}
+
+// askWithin is how long a control machine has to answer a command.
+const askWithin = 30 * time.Second
+
+type controlPublish struct {
+	File   string `arg:"" type:"existingfile" help:"An operator's file: its teams, services and pools count, all else is passed over."`
+	To     string `required:"" help:"Address of the machine that originates versions."`
+	Author string `required:"" help:"Who publishes."`
+	Reason string `required:"" help:"Why, in a plain sentence."`
+	Base   string `help:"Digest of the version that must be in force, 12 hex digits at least; without it any."`
+}
+
+func (c *controlPublish) Run() error { return c.run(os.Stdout) }
+
+func (c *controlPublish) run(w io.Writer) error {
+	text, err := os.ReadFile(c.File)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), askWithin)
+	defer cancel()
+	client := publish.Client{Address: c.To}
+	var base document.Digest
+	if c.Base != "" {
+		v, err := client.Version(ctx)
+		if err != nil {
+			return err
+		}
+		if len(c.Base) < 2*6 || !strings.HasPrefix(v.Digest, strings.ToLower(c.Base)) {
+			return fmt.Errorf("--base is %q, in force is version %d, %s", c.Base, v.Number, v.Digest)
+		}
+		// It is compared once more, whole, when the version is made.
+		if base, err = v.DigestOf(); err != nil {
+			return err
+		}
+	}
+	h, err := client.File(ctx, text, document.Meta{Author: c.Author, Reason: c.Reason}, base)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(w, "version %d %v is in force at %s, after %v\n", h.Number, h.Digest(), c.To, h.Parent)
+	return nil
+}
+
+type controlStatus struct {
+	At      []string `required:"" help:"Addresses of control machines, with commas between."`
+	Lagging bool     `help:"Only followers that lag, refused a version or are on a fork; ends with 1 if there are any."`
+}
+
+func (c *controlStatus) Run() error { return c.run(os.Stdout) }
+
+func (c *controlStatus) run(w io.Writer) error {
+	var errs []error
+	lagging := 0
+	for _, address := range c.At {
+		n, err := status(w, address, c.Lagging)
+		if err != nil {
+			fmt.Fprintf(w, "%s: %v\n", address, err)
+			errs = append(errs, fmt.Errorf("%s does not answer", address))
+		}
+		lagging += n
+	}
+	if c.Lagging && lagging > 0 {
+		errs = append(errs, fmt.Errorf("%d lag, refused a version or are on a fork", lagging))
+	}
+	return errors.Join(errs...)
+}
+
+// status prints what one machine says, and returns how many followers it lists.
+func status(w io.Writer, address string, lagging bool) (int, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), askWithin)
+	defer cancel()
+	client := publish.Client{Address: address}
+	v, err := client.Version(ctx)
+	if err != nil {
+		return 0, err
+	}
+	lines, err := client.Followers(ctx, lagging)
+	if err != nil {
+		return 0, err
+	}
+	role := "originates"
+	if v.Originator != "" {
+		role = fmt.Sprintf("follows %s, heard %d ms ago", v.Originator, v.UnheardMS)
+	}
+	fmt.Fprintf(w, "%s in %s at %s: %s\n", v.Name, v.Region, address, role)
+	fmt.Fprintf(w, "version %d %.12s of %s by %s: %s\n", v.Number, v.Digest, time.UnixMicro(v.TimeUS).UTC().Format(time.RFC3339), quoteEmpty(v.Author), quoteEmpty(v.Reason))
+	fmt.Fprintf(w, "the log reaches back to version %d; %d followers, %d forks seen\n", v.Oldest, v.Followers, v.Forks)
+	if v.Disk != "" {
+		fmt.Fprintf(w, "DISK: %s\n", v.Disk)
+	}
+	if len(lines) == 0 {
+		return 0, nil
+	}
+	t := tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
+	fmt.Fprintln(t, "FOLLOWER\tREGION\tVERSION\tDIGEST\tLAG\tSTATE")
+	for _, f := range lines {
+		fmt.Fprintf(t, "%s\t%s\t%d\t%s\t%d ms\t%s\n", f.Name, f.Region, f.Number, f.Digest, f.LagMS, followerState(&f))
+	}
+	return len(lines), t.Flush()
+}
+
+func quoteEmpty(s string) string {
+	if s == "" {
+		return "(nobody)"
+	}
+	return s
+}
+
+// followerState says in a few words what is to know of a follower.
+func followerState(f *protocol.Follower) string {
+	var words []string
+	switch {
+	case f.Leaving:
+		words = append(words, fmt.Sprintf("left %d s ago", f.SeenMS/1000))
+	case !f.Connected:
+		words = append(words, fmt.Sprintf("gone for %d s", f.SeenMS/1000))
+	default:
+		words = append(words, "connected")
+	}
+	if f.Publisher {
+		words = append(words, "control machine")
+	}
+	if f.Fork {
+		words = append(words, "FORK")
+	}
+	if f.Refused != "" {
+		words = append(words, "refused: "+f.Refused)
+	}
+	return strings.Join(words, ", ")
+}
--- a/cmd/kiteslip/main.go
+++ b/cmd/kiteslip/main.go
@@ -27,6 +27,7 @@
 	Check   checkCmd   `cmd:"" help:"Read and check the configuration, and say what it amounts to."`
 	Pcap    pcapCmd    `cmd:"" help:"Work with capture files."`
 	Keys    keysCmd    `cmd:"" help:"Work with a folder of keyed results that no server uses."`
+	Control controlCmd `cmd:"" help:"Settings that a whole fleet serves by, as versions."`
 	Version versionCmd `cmd:"" help:"Print the version."`
 }
 
--- /dev/null
+++ b/internal/config/publisher.go
@@ -0,0 +1,126 @@
+package config
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+
+	"github.com/BurntSushi/toml"
+
+	"kiteslip/internal/control/document"
+)
+
+// ControlMachine is a control machine's own file, checked: see deploy/control.toml.
+type ControlMachine struct {
+	Name   string             `toml:"name"`
+	Region string             `toml:"region"`
+	Listen string             `toml:"listen"`
+	Folder string             `toml:"folder"` // of the log, an absolute path
+	Deltas int                `toml:"deltas"` // most that the log holds; 0 = the publisher's default
+	Follow []ControlPublisher `toml:"follow"` // the originator first; none = this machine originates
+}
+
+// The bounds of a control machine's file.
+const (
+	leastDeltas = 16
+	mostDeltas  = 1 << 20
+	mostFollow  = 64
+)
+
+// LoadControlMachine reads a control machine's file. Its error names all faulty keys.
+func LoadControlMachine(path string) (*ControlMachine, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("config: %w", err)
+	}
+	c, err := ParseControlMachine(string(text))
+	if err != nil {
+		return nil, fmt.Errorf("config: %s: %w", path, err)
+	}
+	return c, nil
+}
+
+// ParseControlMachine is LoadControlMachine on a text.
+func ParseControlMachine(text string) (*ControlMachine, error) {
+	c := &ControlMachine{}
+	meta, err := toml.Decode(text, c)
+	if err != nil {
+		return nil, err
+	}
+	var errs problems
+	for _, key := range meta.Undecoded() {
+		errs.add(key.String(), "is not known")
+	}
+	for key, value := range map[string]string{"name": c.Name, "region": c.Region} {
+		if value == "" || len(value) > mostName {
+			errs.add(key, "is %q, want 1 to %d bytes", value, mostName)
+		}
+	}
+	checkAddress(errs.add, "listen", c.Listen)
+	if !filepath.IsAbs(c.Folder) {
+		errs.add("folder", "is %q, want an absolute path", c.Folder)
+	}
+	if c.Deltas != 0 && (c.Deltas < leastDeltas || c.Deltas > mostDeltas) {
+		errs.add("deltas", "is %d, want %d to %d", c.Deltas, leastDeltas, mostDeltas)
+	}
+	if len(c.Follow) > mostFollow {
+		errs.add("follow", "has %d entries, want at most %d", len(c.Follow), mostFollow)
+	}
+	seen := map[string]bool{}
+	for i, f := range c.Follow {
+		key := fmt.Sprintf("follow[%d]", i)
+		checkAddress(errs.add, key+".address", f.Address)
+		switch {
+		case f.Address == c.Listen:
+			errs.add(key+".address", "is %q, which is this machine", f.Address)
+		case seen[f.Address]:
+			errs.add(key+".address", "is %q, which is there twice", f.Address)
+		}
+		seen[f.Address] = true
+		if f.Region == "" || len(f.Region) > mostName {
+			errs.add(key+".region", "is %q, want 1 to %d bytes", f.Region, mostName)
+		}
+	}
+	slices.SortFunc(errs, func(a, b error) int { return cmp.Compare(a.Error(), b.Error()) })
+	return c, errors.Join(errs...)
+}
+
+// ContentOf reads what the fleet serves by from an operator's file: its teams,
+// services and pools, in the order of names. The sections that set up a machine
+// are passed over. Its error names all keys that are not known, and names that
+// are there twice; what the entries hold is checked by the document.
+func ContentOf(text string) (*document.Content, error) {
+	var o Operator
+	meta, err := toml.Decode(text, &o)
+	if err != nil {
+		return nil, err
+	}
+	var errs problems
+	for _, key := range meta.Undecoded() {
+		// A section with a misspelt name would drop all that it was meant to hold.
+		if key[0] != "control" {
+			errs.add(key.String(), "is not known")
+		}
+	}
+	c := &document.Content{Teams: o.Teams, Services: o.Services, Pools: o.Pool, CheapReserve: o.Pools.CheapReserve}
+	byName(c.Teams, "team", func(t *Team) string { return t.Name }, &errs)
+	byName(c.Services, "service", func(s *Service) string { return s.Name }, &errs)
+	byName(c.Pools, "pool", func(p *Pool) string { return p.Name }, &errs)
+	return c, errors.Join(errs...)
+}
+
+// byName reports names that are absent or there twice, and sorts the list.
+func byName[T any](list []T, section string, name func(*T) string, errs *problems) {
+	seen := make(map[string]bool, len(list))
+	for i := range list {
+		n := name(&list[i])
+		if n == "" || seen[n] {
+			errs.add(fmt.Sprintf("%s[%d].name", section, i), "is %q, want a name of its own", n)
+		}
+		seen[n] = true
+	}
+	slices.SortStableFunc(list, func(a, b T) int { return cmp.Compare(name(&a), name(&b)) })
+}
--- a/internal/control/protocol/protocol.go
+++ b/internal/control/protocol/protocol.go
@@ -18,6 +18,8 @@
 package protocol
 
 import (
+	"encoding/hex"
+	"fmt"
 	"time"
 
 	"kiteslip/internal/control/document"
@@ -84,10 +86,56 @@
 	Region    string `json:"region"`
 	Publisher bool   `json:"publisher,omitempty"`
 	Number    uint64 `json:"version"`
-	Digest    string `json:"digest"`
+	Digest    string `json:"digest"` // its first 12 hex digits
 	LagMS     int64  `json:"lag_ms"` // since a version that it is not on came into force here; 0 = current
 	Refused   string `json:"refused,omitempty"`
 	Fork      bool   `json:"fork,omitempty"`
+	Leaving   bool   `json:"leaving,omitempty"` // it said that it leaves: it does not lag
 	Connected bool   `json:"connected"`
 	SeenMS    int64  `json:"seen_ms"` // since it last said anything
 }
+
+// Version is GET /v1/version, and the answer to what was published.
+type Version struct {
+	Number     uint64 `json:"version"`
+	Digest     string `json:"digest"` // 64 hex digits, as Parent and Content
+	Parent     string `json:"parent"`
+	Content    string `json:"content"`
+	Author     string `json:"author"`
+	Reason     string `json:"reason"`
+	TimeUS     int64  `json:"time_us"` // when it was accepted, Unix microseconds
+	Name       string `json:"name"`    // of the control machine that answers
+	Region     string `json:"region"`
+	Originator string `json:"originator,omitempty"` // where versions are published; "" = here
+	UnheardMS  int64  `json:"unheard_ms"`           // since the originator was heard; 0 at the originator
+	Oldest     uint64 `json:"oldest"`               // the log reaches back to this version
+	Followers  int    `json:"followers"`            // connected
+	Forks      int    `json:"forks"`                // seen since the start
+	Disk       string `json:"disk,omitempty"`       // why the log cannot be written
+}
+
+// DigestOf reads Digest.
+func (v *Version) DigestOf() (document.Digest, error) {
+	b, err := hex.DecodeString(v.Digest)
+	if err != nil || len(b) != len(document.Digest{}) {
+		return document.Digest{}, fmt.Errorf("protocol: a digest of %.80q", v.Digest)
+	}
+	return document.Digest(b), nil
+}
+
+// Refusal is the answer to what was not done.
+type Refusal struct {
+	Code       string   `json:"code"`                 // one of the codes below
+	Faults     []string `json:"faults"`               // all of them
+	Originator string   `json:"originator,omitempty"` // where to publish instead
+}
+
+// The codes of a refusal.
+const (
+	CodeFaults     = "faults"         // 400: what was sent is faulty
+	CodeOriginator = "not_originator" // 409: another machine accepts versions
+	CodeBase       = "base"           // 409: the base named is not in force
+	CodeSame       = "same"           // 409: nothing differs from what is in force
+	CodeDisk       = "disk"           // 503: the log cannot be written
+	CodeBusy       = "busy"           // 503: as many are served as are allowed
+)
--- /dev/null
+++ b/internal/control/publish/helpers_test.go
@@ -0,0 +1,271 @@
+package publish
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
+
+	"kiteslip/internal/control/document"
+	"kiteslip/internal/control/follow"
+	"kiteslip/internal/control/protocol"
+)
+
+// patience bounds every wait: far longer than anything takes.
+const patience = 20 * time.Second
+
+var byTest = document.Meta{Author: "test", Reason: "a test"}
+
+// team is the change that gives a team its budget.
+func team(name string, quota float64) document.Change {
+	return document.Change{Team: &document.Team{Name: name, Quota: quota}}
+}
+
+func eventually(t testing.TB, what string, ok func() bool) {
+	t.Helper()
+	for began := time.Now(); !ok(); time.Sleep(2 * time.Millisecond) {
+		if time.Since(began) > patience {
+			t.Fatalf("%s: not within %v", what, patience)
+		}
+	}
+}
+
+// machine is a control machine that serves in this process.
+type machine struct {
+	*Publisher
+	*Client
+	logs  *observer.ObservedLogs
+	leave func()
+}
+
+func freeAddress(t testing.TB) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// serve opens a publisher and lets it serve until the test ends or leave is called.
+func serve(t testing.TB, set Settings, tune ...func(*Publisher)) *machine {
+	t.Helper()
+	core, logs := observer.New(zapcore.InfoLevel)
+	set.Log = zap.New(core)
+	if set.Name == "" {
+		set.Name = "c0"
+	}
+	if set.Region == "" {
+		set.Region = "north"
+	}
+	if set.Listen == "" {
+		set.Listen = freeAddress(t)
+	}
+	if set.Folder == "" {
+		set.Folder = t.TempDir()
+	}
+	p, err := Open(set)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, f := range tune {
+		f(p)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- p.Serve(ctx) }()
+	m := &machine{Publisher: p, Client: &Client{Address: set.Listen}, logs: logs}
+	m.leave = sync.OnceFunc(func() {
+		cancel()
+		if err := <-ended; err != nil {
+			t.Errorf("Serve: %v", err)
+		}
+		if err := p.Close(); err != nil {
+			t.Errorf("Close: %v", err)
+		}
+	})
+	t.Cleanup(m.leave)
+	eventually(t, "it serves", func() bool { return logs.FilterMessage("serving").Len() == 1 })
+	return m
+}
+
+// must publishes changes.
+func (m *machine) must(t testing.TB, changes ...document.Change) document.Header {
+	t.Helper()
+	h, err := m.Publish(changes, byTest, document.Digest{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return h
+}
+
+// versionsUpTo publishes until that number is in force.
+func (m *machine) versionsUpTo(t testing.TB, number uint64) {
+	t.Helper()
+	for n := m.Document().Header().Number + 1; n <= number; n++ {
+		m.must(t, team(fmt.Sprint("t", n%50), float64(n)))
+	}
+}
+
+// peer is a follower by hand: it says what a test wants, and keeps what it hears.
+type peer struct {
+	t         testing.TB
+	out       *io.PipeWriter
+	in        io.ReadCloser
+	dec       *cbor.Decoder
+	transport *http.Transport
+}
+
+func h2() *http.Transport {
+	var p http.Protocols
+	p.SetUnencryptedHTTP2(true)
+	return &http.Transport{Protocols: &p}
+}
+
+// dial opens a stream without a word.
+func dial(t testing.TB, address string) (*peer, error) {
+	r, w := io.Pipe()
+	p := &peer{t: t, out: w, transport: h2()}
+	t.Cleanup(p.close)
+	q, err := http.NewRequest(http.MethodPost, "http://"+address+protocol.PathFollow, r)
+	if err != nil {
+		return p, err
+	}
+	a, err := p.transport.RoundTrip(q)
+	if err != nil {
+		return p, err
+	}
+	p.in = a.Body
+	if a.StatusCode != http.StatusOK {
+		return p, fmt.Errorf("status %d, Retry-After %q", a.StatusCode, a.Header.Get("Retry-After"))
+	}
+	mode, err := cbor.DecOptions{}.DecMode()
+	p.dec = mode.NewDecoder(a.Body)
+	return p, err
+}
+
+// hello opens a stream and says who it is.
+func hello(t testing.TB, address string, h protocol.Hello) *peer {
+	t.Helper()
+	p, err := dial(t, address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if h.Name == "" {
+		h.Name = "s0"
+	}
+	p.say(protocol.FromFollower{Hello: &h})
+	return p
+}
+
+func (p *peer) close() {
+	p.out.CloseWithError(errors.New("over"))
+	if p.in != nil {
+		p.in.Close()
+	}
+	p.transport.CloseIdleConnections()
+}
+
+func (p *peer) say(m protocol.FromFollower) {
+	p.t.Helper()
+	b, err := cbor.Marshal(&m)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	p.raw(b)
+}
+
+func (p *peer) raw(b []byte) {
+	p.out.Write(b) //nolint:errcheck // an end shows where it is read
+}
+
+func (p *peer) ack(doc *document.Document) {
+	p.say(protocol.FromFollower{Ack: &protocol.Ack{Number: doc.Header().Number, Digest: doc.Digest()}})
+}
+
+// next is the next record, whatever it is; an error is the stream's end.
+func (p *peer) next() (m protocol.FromPublisher, err error) {
+	return m, p.dec.Decode(&m)
+}
+
+// version is the next record that is no beat.
+func (p *peer) version() (m protocol.FromPublisher, err error) {
+	for m.Delta == nil && m.Snapshot == nil && err == nil {
+		m = protocol.FromPublisher{}
+		err = p.dec.Decode(&m)
+	}
+	return m, err
+}
+
+// beat is the next record, which must be a beat.
+func (p *peer) beat() *protocol.Beat {
+	p.t.Helper()
+	m, err := p.next()
+	if err != nil || m.Beat == nil {
+		p.t.Fatalf("%d bytes of a delta, %d of a snapshot, %v: want a beat", len(m.Delta), len(m.Snapshot), err)
+	}
+	return m.Beat
+}
+
+// reach applies what comes until that version is in force, and returns it with
+// the number of snapshots and deltas it took.
+func (p *peer) reach(doc *document.Document, number uint64) (_ *document.Document, snapshots, deltas int) {
+	p.t.Helper()
+	for doc.Header().Number < number {
+		m, err := p.version()
+		if err != nil {
+			p.t.Fatalf("on version %d: %v", doc.Header().Number, err)
+		}
+		if m.Snapshot != nil {
+			snapshots++
+			doc, err = document.Open(m.Snapshot)
+		} else {
+			deltas++
+			var delta *document.Delta
+			if delta, err = document.DecodeDelta(m.Delta); err == nil {
+				doc, err = doc.Apply(delta)
+			}
+		}
+		if err != nil {
+			p.t.Fatal(err)
+		}
+		p.ack(doc)
+	}
+	return doc, snapshots, deltas
+}
+
+// relayOf are the settings of a machine that follows others.
+func relayOf(name string, addresses ...string) Settings {
+	s := Settings{Name: name}
+	for _, a := range addresses {
+		s.Follow = append(s.Follow, follow.Publisher{Address: a, Region: "north"})
+	}
+	return s
+}
+
+// applyRecord applies what a follower is sent.
+func applyRecord(doc *document.Document, record []byte) (*document.Document, error) {
+	var m protocol.FromPublisher
+	if err := cbor.Unmarshal(record, &m); err != nil {
+		return nil, err
+	}
+	if m.Snapshot != nil {
+		return document.Open(m.Snapshot)
+	}
+	delta, err := document.DecodeDelta(m.Delta)
+	if err != nil {
+		return nil, err
+	}
+	return doc.Apply(delta)
+}
--- /dev/null
+++ b/internal/control/publish/publish_test.go
@@ -0,0 +1,304 @@
+package publish
+
+import (
+	"errors"
+	"math/rand/v2"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/pebble/v2"
+	"github.com/cockroachdb/pebble/v2/vfs"
+	"github.com/cockroachdb/pebble/v2/vfs/errorfs"
+
+	"kiteslip/internal/control/document"
+)
+
+func set(folder string) Settings {
+	return Settings{Name: "c0", Region: "north", Listen: "127.0.0.1:0", Folder: folder}
+}
+
+// publishN publishes until that number is in force.
+func publishN(t testing.TB, p *Publisher, number uint64) {
+	t.Helper()
+	m := &machine{Publisher: p}
+	m.versionsUpTo(t, number)
+}
+
+func closed(t testing.TB, p *Publisher) {
+	t.Helper()
+	if err := p.Close(); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// What was accepted is there after a start, with the deltas that lead to it.
+func TestReopen(t *testing.T) {
+	fs := vfs.NewMem()
+	for _, number := range []uint64{0, 1, 3, 255, 256, 257, 600} {
+		p, err := open(set("log"), fs)
+		if err != nil {
+			t.Fatal(err)
+		}
+		publishN(t, p, number)
+		doc := p.Document()
+		closed(t, p)
+		if p, err = open(set("log"), fs); err != nil {
+			t.Fatal(err)
+		}
+		if got := p.Document(); got.Digest() != doc.Digest() || got.Header() != doc.Header() || p.versions.oldest() != 0 {
+			t.Errorf("version %d: after a start %d %v, reaching back to %d", number, got.Header().Number, got.Digest(), p.versions.oldest())
+		}
+		if p.since >= snapshotEvery {
+			t.Errorf("version %d: a start applies %d deltas, want under %d", number, p.since, snapshotEvery)
+		}
+		closed(t, p)
+	}
+}
+
+// The log keeps to both bounds, in memory and on disk, and a start finds the same.
+func TestBounds(t *testing.T) {
+	for _, bound := range []struct{ deltas, bytes int }{{16, 0}, {1000, 4000}, {1, 0}, {1000, 1}} {
+		s, fs := set("log"), vfs.NewMem()
+		s.Deltas, s.Bytes = bound.deltas, bound.bytes
+		p, err := open(s, fs)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for number := uint64(1); number <= 300; number++ {
+			publishN(t, p, number)
+			if n := len(p.versions.entries); n > bound.deltas || bound.bytes > 0 && n > 1 && p.versions.bytes > bound.bytes {
+				t.Fatalf("%+v: %d deltas, %d bytes", bound, n, p.versions.bytes)
+			}
+		}
+		oldest, digest := p.versions.oldest(), p.Document().Digest()
+		closed(t, p)
+		if p, err = open(s, fs); err != nil {
+			t.Fatalf("%+v: %v", bound, err)
+		}
+		if p.versions.oldest() != oldest || p.Document().Digest() != digest {
+			t.Errorf("%+v: after a start it reaches back to %d, want %d", bound, p.versions.oldest(), oldest)
+		}
+		closed(t, p)
+	}
+}
+
+func TestPublishRefuses(t *testing.T) {
+	p, err := open(set("log"), vfs.NewMem())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer closed(t, p)
+	publishN(t, p, 2)
+	doc := p.Document()
+	for _, c := range []struct {
+		changes []document.Change
+		base    document.Digest
+		want    error
+		texts   []string
+	}{
+		{nil, document.Digest{}, ErrSame, nil},
+		{[]document.Change{team("t1", 1)}, document.Digest{}, ErrSame, nil},
+		{[]document.Change{team("new", 1)}, document.Digest{1}, ErrBase, nil},
+		{[]document.Change{team("", 1), team("b", -1)}, document.Digest{}, ErrFaults, nil},
+		{[]document.Change{{Drop: true, Team: &document.Team{Name: "nobody"}}, team("b", -1)}, document.Digest{}, ErrFaults, []string{"nobody", "b"}},
+	} {
+		_, err := p.Publish(c.changes, byTest, c.base)
+		if !errors.Is(err, c.want) {
+			t.Errorf("%+v: %v, want %v", c.changes, err, c.want)
+		}
+		for _, text := range c.texts {
+			if err == nil || !strings.Contains(err.Error(), text) {
+				t.Errorf("%v does not name %q", err, text)
+			}
+		}
+	}
+	if p.Document() != doc {
+		t.Error("what was refused changed what is in force")
+	}
+}
+
+// Time never goes back, whatever clock the next originator has.
+func TestTimeNeverGoesBack(t *testing.T) {
+	p, err := open(set("log"), vfs.NewMem())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer closed(t, p)
+	late := time.Now().Add(time.Hour).UnixMicro()
+	for i, at := range []int64{late, 5, 0} {
+		by := byTest
+		by.Time = at
+		h, err := p.Publish([]document.Change{team("a", float64(i+1))}, by, document.Digest{})
+		if err != nil || h.Time != late {
+			t.Errorf("told %d: %d, %v, want %d", at, h.Time, err, late)
+		}
+	}
+}
+
+// A log whose end is torn off, or that was changed by hand, is not taken, and
+// the error names the version.
+func TestDamageIsNamed(t *testing.T) {
+	for _, c := range []struct {
+		name, want string
+		harm       func(db *pebble.DB) error
+	}{
+		{"the last delta gone", "ends with version 299", func(db *pebble.DB) error { return db.Delete(deltaKey(300), pebble.Sync) }},
+		{"one in the middle gone", "version 280 is absent", func(db *pebble.DB) error { return db.Delete(deltaKey(280), pebble.Sync) }},
+		{"one before the snapshot gone", "version 20 is absent", func(db *pebble.DB) error { return db.Delete(deltaKey(20), pebble.Sync) }},
+		{"the snapshot gone", "ends with version", func(db *pebble.DB) error {
+			return errors.Join(db.Delete([]byte(snapshotKey), pebble.Sync), db.DeleteRange(deltaKey(1), deltaKey(1000), pebble.Sync))
+		}},
+		{"the head gone", "ends with version 300", func(db *pebble.DB) error { return db.Delete([]byte(headKey), pebble.Sync) }},
+		{"another delta in its place", "version 290 says that it is 289", func(db *pebble.DB) error { return swap(db, deltaKey(289), deltaKey(290)) }},
+		{"a bit turned in a delta", "version 290", func(db *pebble.DB) error { return turn(db, deltaKey(290)) }},
+		{"a bit turned before the snapshot", "version 9", func(db *pebble.DB) error { return turn(db, deltaKey(9)) }},
+		{"a bit turned in the snapshot", "the snapshot", func(db *pebble.DB) error { return turn(db, []byte(snapshotKey)) }},
+		{"a strange entry", "an entry", func(db *pebble.DB) error { return db.Set([]byte{deltaPrefix, 1}, nil, pebble.Sync) }},
+		{"no log of ours", "no log of versions", func(db *pebble.DB) error { return db.Set([]byte(formatKey), []byte("kiteslip keys 1"), pebble.Sync) }},
+		{"no word of what it is", "no log of versions", func(db *pebble.DB) error { return db.Delete([]byte(formatKey), pebble.Sync) }},
+	} {
+		fs := vfs.NewMem()
+		p, err := open(set("log"), fs)
+		if err != nil {
+			t.Fatal(err)
+		}
+		publishN(t, p, 300)
+		closed(t, p)
+		db, err := pebble.Open("log", &pebble.Options{FS: fs, Logger: quiet{}, FormatMajorVersion: pebble.FormatNewest})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := errors.Join(c.harm(db), db.Close()); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := open(set("log"), fs); err == nil || !strings.Contains(err.Error(), c.want) ||
+			!errors.Is(err, ErrDamage) && !errors.Is(err, ErrFolder) {
+			t.Errorf("%s: %v, want %q", c.name, err, c.want)
+		}
+	}
+}
+
+func turn(db *pebble.DB, key []byte) error {
+	value, closer, err := db.Get(key)
+	if err != nil {
+		return err
+	}
+	value = append([]byte(nil), value...)
+	value[len(value)/2] ^= 0x10
+	return errors.Join(closer.Close(), db.Set(key, value, pebble.Sync))
+}
+
+func swap(db *pebble.DB, from, to []byte) error {
+	value, closer, err := db.Get(from)
+	if err != nil {
+		return err
+	}
+	value = append([]byte(nil), value...)
+	return errors.Join(closer.Close(), db.Set(to, value, pebble.Sync))
+}
+
+func TestFolderBelongsToOne(t *testing.T) {
+	folder := t.TempDir()
+	p, err := Open(set(folder))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer closed(t, p)
+	if _, err := Open(set(folder)); !errors.Is(err, ErrInUse) {
+		t.Errorf("%v, want ErrInUse", err)
+	}
+}
+
+// The power goes after any version, with any part of what was not synced lost:
+// what Publish accepted is there, and nothing more.
+func TestPowerLoss(t *testing.T) {
+	for seed := range uint64(30) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		mem := vfs.NewCrashableMem()
+		s := set("log")
+		s.Deltas = 1 + rng.IntN(40)
+		p, err := open(s, mem)
+		if err != nil {
+			t.Fatal(err)
+		}
+		publishN(t, p, uint64(rng.IntN(60)))
+		doc := p.Document()
+		after := mem.CrashClone(vfs.CrashCloneCfg{UnsyncedDataPercent: rng.IntN(101), RNG: rng})
+		closed(t, p)
+		if p, err = open(s, after); err != nil {
+			t.Fatalf("seed %d: %v", seed, err)
+		}
+		if got := p.Document(); got.Digest() != doc.Digest() {
+			t.Errorf("seed %d: version %d after the loss, want %d", seed, got.Header().Number, doc.Header().Number)
+		}
+		publishN(t, p, doc.Header().Number+1)
+		closed(t, p)
+	}
+}
+
+// A disk that fails at any of its writes or syncs: the version is refused, what is in
+// force stays, nothing more is published, and a start finds what was accepted,
+// or whole the one version that was being written.
+func TestDiskFails(t *testing.T) {
+	failed := 0
+	for at := range int64(40) {
+		mem := vfs.NewCrashableMem()
+		var left atomic.Int64
+		left.Store(1 << 40)
+		fs := errorfs.Wrap(mem, errorfs.InjectorFunc(func(op errorfs.Op) error {
+			if op.Kind.ReadOrWrite() == errorfs.OpIsWrite && left.Add(-1) < 0 {
+				return errorfs.ErrInjected
+			}
+			return nil
+		}))
+		s := set("log")
+		s.Deltas = 8
+		p, err := open(s, fs)
+		if err != nil {
+			t.Fatal(err)
+		}
+		publishN(t, p, 5)
+		left.Store(at)
+		var refused error
+		for n := 0; n < 40 && refused == nil; n++ {
+			before := p.Document()
+			if _, refused = p.Publish([]document.Change{team("x", float64(n+1))}, byTest, document.Digest{}); refused == nil {
+				continue
+			}
+			if !errors.Is(refused, ErrDisk) {
+				t.Errorf("write %d: %v, want ErrDisk", at, refused)
+			}
+			if p.Document() != before {
+				t.Errorf("write %d: what was refused is in force", at)
+			}
+		}
+		if refused == nil {
+			t.Errorf("write %d: no version is refused", at)
+			closed(t, p)
+			continue
+		}
+		failed++
+		left.Store(1 << 40) // the disk is well again: the machine does not know
+		if _, err := p.Publish([]document.Change{team("y", 1)}, byTest, document.Digest{}); !errors.Is(err, ErrDisk) {
+			t.Errorf("write %d: after the failure: %v, want ErrDisk", at, err)
+		}
+		doc := p.Document()
+		closed(t, p)
+		again, err := open(s, mem.CrashClone(vfs.CrashCloneCfg{UnsyncedDataPercent: int(at) * 100 / 39, RNG: rand.New(rand.NewPCG(uint64(at), 2))}))
+		if err != nil {
+			t.Errorf("write %d: after a start: %v", at, err)
+			continue
+		}
+		got := again.Document()
+		if got.Digest() != doc.Digest() && got.Header().Parent != doc.Digest() {
+			t.Errorf("write %d: after a start version %d, want %d or the one refused", at, got.Header().Number, doc.Header().Number)
+		}
+		publishN(t, again, got.Header().Number+1)
+		closed(t, again)
+	}
+	if failed < 40 {
+		t.Errorf("%d of 40 disks failed", failed)
+	}
+}
--- /dev/null
+++ b/internal/control/publish/publisher.go
@@ -0,0 +1,291 @@
+package publish
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/pebble/v2/vfs"
+	"github.com/fxamacker/cbor/v2"
+	"go.uber.org/zap"
+
+	"kiteslip/internal/control/document"
+	"kiteslip/internal/control/follow"
+	"kiteslip/internal/control/protocol"
+)
+
+// Publisher is one control machine.
+type Publisher struct {
+	set      Settings
+	log      *zap.Logger
+	store    *store
+	versions *versions
+	book     *book
+	relay    *follow.Follower // nil = this machine originates
+	places   chan struct{}    // ... for streams
+	bodies   chan struct{}    // ... for versions that are read
+	ending   context.Context  // ends when the machine leaves
+	end      context.CancelFunc
+
+	helloWithin, ackWithin time.Duration
+
+	mu       sync.Mutex // held while a version is made: one at a time
+	kept     uint64     // the version that the snapshot on disk is of
+	since    int        // deltas written after it
+	sinceB   int        // bytes of them
+	diskSaid bool
+}
+
+// Open reads the log that the folder keeps, and checks it whole. What was
+// accepted before a crash is there. The folder is this process's until Close.
+func Open(set Settings) (*Publisher, error) { return open(set, vfs.Default) }
+
+func open(set Settings, fs vfs.FS) (*Publisher, error) {
+	if err := set.check(); err != nil {
+		return nil, err
+	}
+	set.Deltas, set.Bytes = cmp.Or(set.Deltas, DefaultDeltas), cmp.Or(set.Bytes, DefaultBytes)
+	if set.Log == nil {
+		set.Log = zap.NewNop()
+	}
+	s, err := openStore(set.Folder, fs)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", set.Folder, err)
+	}
+	p := &Publisher{set: set, log: set.Log, store: s, book: newBook(),
+		places: make(chan struct{}, MostFollowers), bodies: make(chan struct{}, mostBodies),
+		helloWithin: helloWithin, ackWithin: ackWithin}
+	p.ending, p.end = context.WithCancel(context.Background())
+	if err := p.restore(); err != nil {
+		return nil, errors.Join(fmt.Errorf("%s: %w", set.Folder, err), s.close())
+	}
+	if len(set.Follow) > 0 {
+		p.relay, err = follow.New(follow.Settings{Name: set.Name, Region: set.Region, Publishers: set.Follow,
+			Seed: set.Seed, Publisher: true, Log: set.Log})
+		if err != nil {
+			return nil, errors.Join(err, s.close())
+		}
+	}
+	return p, nil
+}
+
+// check reports all faults of the settings at once.
+func (s *Settings) check() error {
+	var errs []error
+	fail := func(format string, args ...any) { errs = append(errs, fmt.Errorf("publish: "+format, args...)) }
+	if s.Name == "" || len(s.Name) > document.MostName {
+		fail("Settings.Name is %q, want 1 to %d bytes", s.Name, document.MostName)
+	}
+	if len(s.Region) > document.MostName {
+		fail("Settings.Region is %d bytes, want at most %d", len(s.Region), document.MostName)
+	}
+	if _, _, err := net.SplitHostPort(s.Listen); err != nil {
+		fail("Settings.Listen is %q, want host:port", s.Listen)
+	}
+	if s.Folder == "" {
+		fail("Settings.Folder is absent")
+	}
+	if s.Deltas < 0 || s.Bytes < 0 {
+		fail("Settings.Deltas is %d and Bytes %d, want 0 or more", s.Deltas, s.Bytes)
+	}
+	return errors.Join(errs...)
+}
+
+// restore takes over what the folder holds.
+func (p *Publisher) restore() error {
+	doc, deltas, kept, err := p.store.load()
+	if err != nil {
+		return err
+	}
+	p.kept = kept
+	p.versions = newVersions(doc)
+	if len(deltas) == 0 {
+		return nil
+	}
+	now := time.Now()
+	list := make([]entry, len(deltas))
+	for i, r := range deltas {
+		if list[i], err = newEntry(r, now); err != nil {
+			return err
+		}
+		if r.number > kept {
+			p.since++
+			p.sinceB += len(r.delta)
+		}
+	}
+	p.versions.restore(doc, deltas[0].parent, list)
+	return nil
+}
+
+func newEntry(r record, now time.Time) (entry, error) {
+	b, err := cbor.Marshal(&protocol.FromPublisher{Delta: r.delta})
+	return entry{number: r.number, digest: r.digest, record: b, since: now}, err
+}
+
+// Close gives the folder back. It is called after Serve, or without it.
+func (p *Publisher) Close() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.store.close()
+}
+
+// Document is the version in force here.
+func (p *Publisher) Document() *document.Document { return p.versions.inForce() }
+
+// Publish makes a version of the changes, at the originator alone: it is in force
+// there, and on its disk, when Publish returns. base, if not zero, must be the
+// digest in force. by.Time 0 is now; a time before that of the version in force
+// becomes that one's. Errors: ErrNotOriginator, ErrBase, ErrSame, ErrFaults with
+// all faults, ErrDisk.
+func (p *Publisher) Publish(changes []document.Change, by document.Meta, base document.Digest) (document.Header, error) {
+	return p.publish(func(*document.Document) []document.Change { return changes }, by, base)
+}
+
+// PublishContent is Publish of the changes that make what is in force into next.
+func (p *Publisher) PublishContent(next *document.Content, by document.Meta, base document.Digest) (document.Header, error) {
+	return p.publish(func(doc *document.Document) []document.Change { return doc.Diff(next) }, by, base)
+}
+
+func (p *Publisher) publish(changes func(*document.Document) []document.Change, by document.Meta, base document.Digest) (document.Header, error) {
+	if p.relay != nil {
+		return document.Header{}, fmt.Errorf("%w: %s does", ErrNotOriginator, p.set.Follow[0].Address)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	doc := p.versions.inForce()
+	if base != (document.Digest{}) && base != doc.Digest() {
+		return document.Header{}, fmt.Errorf("%w: in force is %d %v", ErrBase, doc.Header().Number, doc.Digest())
+	}
+	if err := p.store.failure(); err != nil {
+		return document.Header{}, err
+	}
+	list := changes(doc)
+	if len(list) == 0 {
+		return document.Header{}, fmt.Errorf("%w: %d %v", ErrSame, doc.Header().Number, doc.Digest())
+	}
+	by.Time = max(cmp.Or(by.Time, time.Now().UnixMicro()), doc.Header().Time)
+	delta, err := doc.Draft(list, by)
+	if err != nil && err.Error() == sameText {
+		return document.Header{}, fmt.Errorf("%w: %d %v", ErrSame, doc.Header().Number, doc.Digest())
+	}
+	if err != nil {
+		return document.Header{}, fmt.Errorf("%w:\n%w", ErrFaults, err)
+	}
+	next, err := doc.Apply(delta)
+	if err != nil {
+		return document.Header{}, fmt.Errorf("%w:\n%w", ErrFaults, err)
+	}
+	if err := p.append(next, delta); err != nil {
+		p.sayDisk(err)
+		return document.Header{}, err
+	}
+	h := next.Header()
+	p.log.Info("published", zap.Uint64("version", h.Number), zap.Stringer("digest", next.Digest()), zap.Int("changes", len(list)),
+		zap.String("author", h.Author), zap.String("reason", h.Reason))
+	return h, nil
+}
+
+// sameText is what document.Draft says of changes that leave all as it is.
+const sameText = "the delta changes nothing"
+
+// append writes a version to the log on disk, then puts it in force.
+func (p *Publisher) append(next *document.Document, delta *document.Delta) error {
+	text, err := delta.Encode()
+	if err != nil {
+		return err
+	}
+	r := newRecord(delta, text)
+	e, err := newEntry(r, time.Now())
+	if err != nil {
+		return err
+	}
+	drop := p.versions.excess(p.set.Deltas, p.set.Bytes, len(e.record))
+	from := p.versions.oldest() + 1
+	w := &write{add: &r, from: from, to: from + uint64(drop), number: r.number, digest: r.digest}
+	// The deltas that stay must reach back to the snapshot, and be few after it.
+	if w.to > p.kept+1 || p.since+1 >= snapshotEvery || p.sinceB+len(text) >= snapshotBytes {
+		if w.snapshot, err = next.Snapshot(); err != nil {
+			return err
+		}
+	}
+	if err := p.store.commit(w); err != nil {
+		return err
+	}
+	p.since, p.sinceB = p.since+1, p.sinceB+len(text)
+	if w.snapshot != nil {
+		p.kept, p.since, p.sinceB = r.number, 0, 0
+	}
+	p.versions.add(next, e, drop)
+	return nil
+}
+
+// take puts a version in force that the relay's follower was sent. Where it
+// cannot be written it is served from memory: the originator has it on disk.
+func (p *Publisher) take(_ context.Context, doc *document.Document, delta *document.Delta) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if delta == nil {
+		return p.takeWhole(doc)
+	}
+	text, err := delta.Encode()
+	if err != nil {
+		return err
+	}
+	if err := p.append(doc, delta); err != nil {
+		if !errors.Is(err, ErrDisk) {
+			return err
+		}
+		p.sayDisk(err)
+		e, err := newEntry(newRecord(delta, text), time.Now())
+		if err != nil {
+			return err
+		}
+		p.versions.add(doc, e, p.versions.excess(p.set.Deltas, p.set.Bytes, len(e.record)))
+	}
+	p.logTaken(doc, false)
+	return nil
+}
+
+func (p *Publisher) takeWhole(doc *document.Document) error {
+	text, err := doc.Snapshot()
+	if err != nil {
+		return err
+	}
+	from, to := p.versions.oldest()+1, p.versions.inForce().Header().Number+1
+	err = p.store.commit(&write{snapshot: text, from: from, to: to, number: doc.Header().Number, digest: doc.Digest()})
+	switch {
+	case errors.Is(err, ErrDisk):
+		p.sayDisk(err)
+	case err != nil:
+		return err
+	default:
+		p.kept, p.since, p.sinceB = doc.Header().Number, 0, 0
+	}
+	p.versions.reset(doc)
+	p.logTaken(doc, true)
+	return nil
+}
+
+func (p *Publisher) logTaken(doc *document.Document, whole bool) {
+	p.log.Info("version in force", zap.Uint64("version", doc.Header().Number), zap.Stringer("digest", doc.Digest()), zap.Bool("snapshot", whole))
+}
+
+// sayDisk logs the first failure of the disk: there is no way back but a start.
+func (p *Publisher) sayDisk(err error) {
+	if errors.Is(err, ErrDisk) && !p.diskSaid {
+		p.diskSaid = true
+		p.log.Error("the log cannot be written: nothing more is kept until the next start", zap.Error(err))
+	}
+}
+
+// unheard is how long ago the originator was heard.
+func (p *Publisher) unheard() time.Duration {
+	if p.relay == nil {
+		return 0
+	}
+	return p.relay.State().Unheard
+}
--- /dev/null
+++ b/internal/control/publish/serve.go
@@ -0,0 +1,231 @@
+package publish
+
+import (
+	"context"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"mime"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"go.uber.org/zap"
+	"golang.org/x/net/netutil"
+
+	"kiteslip/internal/config"
+	"kiteslip/internal/control/document"
+	"kiteslip/internal/control/protocol"
+)
+
+// Serve listens and serves until ctx ends; its log has a line "serving" once it
+// listens. A relay follows meanwhile. It is called once.
+func (p *Publisher) Serve(ctx context.Context) error {
+	l, err := net.Listen("tcp", p.set.Listen)
+	if err != nil {
+		return fmt.Errorf("publish: %w", err)
+	}
+	var both http.Protocols
+	both.SetHTTP1(true)
+	both.SetUnencryptedHTTP2(true)
+	server := &http.Server{Handler: p.handler(), Protocols: &both, ReadHeaderTimeout: helloWithin, IdleTimeout: time.Minute,
+		MaxHeaderBytes: mostWord, ErrorLog: zap.NewStdLog(p.log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
+		HTTP2: &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingWithin, MaxConcurrentStreams: MostFollowers + 1}}
+	var relay sync.WaitGroup
+	if p.relay != nil {
+		relay.Go(func() { p.relay.Run(ctx, p.take) })
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- server.Serve(netutil.LimitListener(l, mostConns)) }()
+	doc := p.Document()
+	p.log.Info("serving", zap.String("name", p.set.Name), zap.String("region", p.set.Region), zap.String("listen", l.Addr().String()),
+		zap.Bool("originates", p.relay == nil), zap.Uint64("version", doc.Header().Number), zap.Stringer("digest", doc.Digest()),
+		zap.Uint64("oldest", p.versions.oldest()))
+	select {
+	case err = <-ended:
+	case <-ctx.Done():
+		p.end()
+		late, cancel := context.WithTimeout(context.Background(), leaveWithin)
+		defer cancel()
+		if server.Shutdown(late) != nil {
+			server.Close() //nolint:errcheck // whoever is still there is cut off
+		}
+	}
+	p.end()
+	relay.Wait()
+	p.log.Info("left")
+	return err
+}
+
+func (p *Publisher) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+protocol.PathFollow, p.follow)
+	mux.HandleFunc("POST "+protocol.PathVersions, p.publishes)
+	mux.HandleFunc("GET "+protocol.PathVersion, func(w http.ResponseWriter, _ *http.Request) { answer(w, http.StatusOK, p.version(p.Document())) })
+	mux.HandleFunc("GET "+protocol.PathFollowers, p.followers)
+	return mux
+}
+
+// version words a version as it stands here.
+func (p *Publisher) version(doc *document.Document) *protocol.Version {
+	v := versionOf(doc.Header(), doc.Digest())
+	v.Name, v.Region, v.UnheardMS, v.Oldest = p.set.Name, p.set.Region, p.unheard().Milliseconds(), p.versions.oldest()
+	v.Followers, v.Forks = p.book.counts()
+	if p.relay != nil {
+		v.Originator = p.set.Follow[0].Address
+	}
+	if err := p.store.failure(); err != nil {
+		v.Disk = err.Error()
+	}
+	return v
+}
+
+// followers answers who follows; with lagging=1 those alone that need a look.
+func (p *Publisher) followers(w http.ResponseWriter, r *http.Request) {
+	lines := p.book.list(p.versions, time.Now())
+	if r.URL.Query().Get("lagging") == "1" {
+		some := make([]protocol.Follower, 0)
+		for _, f := range lines {
+			if f.LagMS > 0 || f.Refused != "" || f.Fork {
+				some = append(some, f)
+			}
+		}
+		lines = some
+	}
+	answer(w, http.StatusOK, lines)
+}
+
+// The types of what is published.
+const (
+	typeFile    = "application/toml" // a whole operator's file
+	typeChanges = "application/cbor" // a list of document.Change
+)
+
+// publishes takes a version from an operator.
+func (p *Publisher) publishes(w http.ResponseWriter, r *http.Request) {
+	if p.relay != nil {
+		p.refuse(w, http.StatusConflict, protocol.CodeOriginator, fmt.Sprintf("versions are published at %s", p.set.Follow[0].Address))
+		return
+	}
+	select {
+	case p.bodies <- struct{}{}:
+		defer func() { <-p.bodies }()
+	default:
+		p.refuse(w, http.StatusServiceUnavailable, protocol.CodeBusy, fmt.Sprintf("%d versions are being read", mostBodies))
+		return
+	}
+	query := r.URL.Query()
+	by := document.Meta{Author: query.Get("author"), Reason: query.Get("reason")}
+	var faults []string
+	for key, value := range map[string]string{"author": by.Author, "reason": by.Reason} {
+		if value == "" || len(value) > document.MostText {
+			faults = append(faults, fmt.Sprintf("%s is %d bytes, want 1 to %d", key, len(value), document.MostText))
+		}
+	}
+	var base document.Digest
+	if text := query.Get("base"); text != "" {
+		b, err := hex.DecodeString(text)
+		if err != nil || len(b) != len(base) {
+			faults = append(faults, fmt.Sprintf("base is %.80q, want %d hex digits", text, 2*len(base)))
+		} else {
+			base = document.Digest(b)
+		}
+	}
+	if len(faults) > 0 {
+		p.refuse(w, http.StatusBadRequest, protocol.CodeFaults, faults...)
+		return
+	}
+	http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyWithin)) //nolint:errcheck // a connection that has ended shows below
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, protocol.MostMessage))
+	if err != nil {
+		p.refuse(w, http.StatusBadRequest, protocol.CodeFaults, err.Error())
+		return
+	}
+	var h document.Header
+	switch kind, _, _ := mime.ParseMediaType(r.Header.Get("Content-Type")); kind {
+	case typeFile:
+		var next *document.Content
+		if next, err = config.ContentOf(string(body)); err != nil {
+			err = fmt.Errorf("%w:\n%w", ErrFaults, err)
+		} else {
+			h, err = p.PublishContent(next, by, base)
+		}
+	case typeChanges:
+		var changes []document.Change
+		if err = lists.Unmarshal(body, &changes); err != nil {
+			err = fmt.Errorf("%w:\n%w", ErrFaults, err)
+		} else {
+			h, err = p.Publish(changes, by, base)
+		}
+	default:
+		p.refuse(w, http.StatusUnsupportedMediaType, protocol.CodeFaults, fmt.Sprintf("Content-Type is %q, want %s or %s", kind, typeFile, typeChanges))
+		return
+	}
+	if err != nil {
+		p.refuseError(w, err)
+		return
+	}
+	// Another version may have come since: what is answered is the one made here.
+	v := p.version(p.Document())
+	made := versionOf(h, h.Digest())
+	made.Name, made.Region, made.Oldest, made.Followers, made.Forks = v.Name, v.Region, v.Oldest, v.Followers, v.Forks
+	answer(w, http.StatusOK, made)
+}
+
+var lists = func() cbor.DecMode {
+	m, err := cbor.DecOptions{MaxNestedLevels: 8, MaxMapPairs: 64, MaxArrayElements: 2 * (document.MostTeams + document.MostServices + document.MostPools),
+		DupMapKey: cbor.DupMapKeyEnforcedAPF}.DecMode()
+	if err != nil {
+		panic(err) // the options are constants
+	}
+	return m
+}()
+
+// codes are what errors are answered with, and what the client makes of it.
+var codes = []struct {
+	err    error
+	code   string
+	status int
+}{
+	{ErrFaults, protocol.CodeFaults, http.StatusBadRequest},
+	{ErrNotOriginator, protocol.CodeOriginator, http.StatusConflict},
+	{ErrBase, protocol.CodeBase, http.StatusConflict},
+	{ErrSame, protocol.CodeSame, http.StatusConflict},
+	{ErrDisk, protocol.CodeDisk, http.StatusServiceUnavailable},
+	{ErrBusy, protocol.CodeBusy, http.StatusServiceUnavailable},
+}
+
+func (p *Publisher) refuseError(w http.ResponseWriter, err error) {
+	for _, c := range codes {
+		if errors.Is(err, c.err) {
+			text := strings.TrimPrefix(err.Error(), c.err.Error()+":\n")
+			p.refuse(w, c.status, c.code, strings.Split(text, "\n")...)
+			return
+		}
+	}
+	p.log.Error("a version could not be made", zap.Error(err))
+	p.refuse(w, http.StatusInternalServerError, protocol.CodeFaults, err.Error())
+}
+
+func (p *Publisher) refuse(w http.ResponseWriter, status int, code string, faults ...string) {
+	r := &protocol.Refusal{Code: code, Faults: faults}
+	if p.relay != nil {
+		r.Originator = p.set.Follow[0].Address
+	}
+	if status == http.StatusServiceUnavailable {
+		w.Header().Set("Retry-After", strconv.Itoa(retryAfter))
+	}
+	answer(w, status, r)
+}
+
+func answer(w http.ResponseWriter, status int, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	json.NewEncoder(w).Encode(value) //nolint:errcheck // whoever asked may have gone
+}
--- /dev/null
+++ b/internal/control/publish/serve_test.go
@@ -0,0 +1,407 @@
+package publish
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"kiteslip/internal/control/document"
+	"kiteslip/internal/control/protocol"
+)
+
+func within(t testing.TB) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+// at returns the document of a version that m published, as a follower has it.
+func (m *machine) at(t testing.TB, number uint64) *document.Document {
+	t.Helper()
+	doc := document.Empty()
+	for _, e := range m.versions.entries[:number] {
+		var err error
+		doc, err = applyRecord(doc, e.record)
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	return doc
+}
+
+func lagging(t testing.TB, m *machine) []protocol.Follower {
+	t.Helper()
+	lines, err := m.Followers(within(t), true)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return lines
+}
+
+// What a follower is sent goes by the version that it names.
+func TestHello(t *testing.T) {
+	m := serve(t, Settings{Deltas: 16})
+	empty := hello(t, m.Address, protocol.Hello{})
+	if b := empty.beat(); b.Number != 0 || b.Unheard != 0 {
+		t.Errorf("before the first version: %+v", b)
+	}
+	m.versionsUpTo(t, 10)
+	docs := map[uint64]*document.Document{}
+	for n := uint64(1); n <= 10; n++ {
+		docs[n] = m.at(t, n)
+	}
+	if doc, snapshots, _ := empty.reach(document.Empty(), 10); doc.Digest() != m.Document().Digest() || snapshots != 1 {
+		t.Errorf("one with nothing: version %d after %d snapshots", doc.Header().Number, snapshots)
+	}
+	m.versionsUpTo(t, 20) // the log reaches back to version 4
+	for _, c := range []struct {
+		name             string
+		on               uint64
+		snapshots, steps int
+	}{{"none", 0, 1, 0}, {"older than the log", 3, 1, 0}, {"the oldest", 4, 0, 16}, {"in the log", 9, 0, 11}} {
+		doc := document.Empty()
+		if c.on > 0 {
+			doc = docs[c.on]
+		}
+		p := hello(t, m.Address, protocol.Hello{Name: "s-" + c.name, Number: c.on, Digest: doc.Digest()})
+		if b := p.beat(); b.Number != 20 || b.Digest != m.Document().Digest() {
+			t.Errorf("%s: first a beat of %+v", c.name, b)
+		}
+		doc, snapshots, steps := p.reach(doc, 20)
+		if doc.Digest() != m.Document().Digest() || snapshots != c.snapshots || steps != c.steps {
+			t.Errorf("%s: %d snapshots and %d deltas, want %d and %d", c.name, snapshots, steps, c.snapshots, c.steps)
+		}
+	}
+	in := m.Document()
+	p := hello(t, m.Address, protocol.Hello{Name: "current", Number: 20, Digest: in.Digest()})
+	p.beat()
+	m.versionsUpTo(t, 21)
+	if doc, snapshots, steps := p.reach(in, 21); doc.Digest() != m.Document().Digest() || snapshots != 0 || steps != 1 {
+		t.Errorf("a current one: %d snapshots, %d deltas", snapshots, steps)
+	}
+}
+
+// Two versions with one number: the follower gets beats alone, it is logged as an
+// error and listed; all others go on.
+func TestForkIsShoutedAbout(t *testing.T) {
+	m := serve(t, Settings{})
+	m.versionsUpTo(t, 5)
+	for i, h := range []protocol.Hello{{Name: "on-5", Number: 5, Digest: document.Digest{9}}, {Name: "on-3", Number: 3, Digest: document.Digest{9}}} {
+		p := hello(t, m.Address, h)
+		p.beat()
+		eventually(t, "the fork is logged", func() bool {
+			return m.logs.FilterMessageSnippet("fork").Len() == i+1
+		})
+		m.must(t, team("z", float64(i+1)))
+		for range 2 {
+			if b := p.beat(); b.Digest == h.Digest {
+				t.Errorf("%+v", b)
+			}
+		}
+	}
+	other := hello(t, m.Address, protocol.Hello{Name: "sound"})
+	other.reach(document.Empty(), 7)
+	eventually(t, "the sound one is current", func() bool { return len(lagging(t, m)) == 2 })
+	lines, err := m.Followers(within(t), true)
+	if err != nil || len(lines) != 2 || !lines[0].Fork || !lines[1].Fork || lines[0].Name != "on-3" || lines[0].LagMS == 0 {
+		t.Errorf("%+v, %v", lines, err)
+	}
+	if v, err := m.Version(within(t)); err != nil || v.Forks != 2 {
+		t.Errorf("%+v, %v", v, err)
+	}
+	// One that says so itself, and one whose word shows it.
+	for _, a := range []protocol.Ack{{Number: 7, Digest: m.Document().Digest(), Fork: true}, {Number: 6, Digest: document.Digest{3}}} {
+		_, before := m.book.counts()
+		p := hello(t, m.Address, protocol.Hello{Name: "late", Number: 7, Digest: m.Document().Digest()})
+		p.say(protocol.FromFollower{Ack: &a})
+		eventually(t, "the fork is counted", func() bool { _, n := m.book.counts(); return n == before+1 })
+	}
+}
+
+// One that is ahead of this machine, which lags behind the originator, gets beats
+// alone until the machine has caught up, then what follows.
+func TestFollowerAhead(t *testing.T) {
+	a := serve(t, Settings{Name: "c0"})
+	b := serve(t, Settings{Name: "c1"})
+	for _, m := range []*machine{a, b} {
+		for n := range 3 {
+			by := byTest
+			by.Time = int64(1e18) + int64(n) // the same versions on both
+			if _, err := m.Publish([]document.Change{team("a", float64(n+1))}, by, document.Digest{}); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	step := func(m *machine, n int) {
+		t.Helper()
+		by := byTest
+		by.Time = int64(1e18) + int64(n)
+		if _, err := m.Publish([]document.Change{team("a", float64(n+1))}, by, document.Digest{}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for n := 3; n < 6; n++ {
+		step(a, n)
+	}
+	doc := a.Document()
+	p := hello(t, b.Address, protocol.Hello{Number: 6, Digest: doc.Digest()})
+	for range 2 {
+		if got := p.beat(); got.Number != 3 {
+			t.Errorf("%+v", got)
+		}
+	}
+	for n := 3; n < 7; n++ {
+		step(b, n)
+	}
+	if doc, _, steps := p.reach(doc, 7); doc.Digest() != b.Document().Digest() || steps != 1 {
+		t.Errorf("after %d deltas on %d", steps, doc.Header().Number)
+	}
+	if n := b.logs.FilterMessageSnippet("fork").Len(); n != 0 {
+		t.Errorf("%d forks", n)
+	}
+}
+
+// Streams that say nothing, nonsense, too much or too little end; none holds a
+// place for long, and others are served.
+func TestBadStreamsEnd(t *testing.T) {
+	m := serve(t, Settings{}, func(p *Publisher) { p.helloWithin = 50 * time.Millisecond })
+	m.versionsUpTo(t, 1)
+	long := strings.Repeat("x", 200)
+	for name, say := range map[string]func(p *peer){
+		"nothing":       func(p *peer) {},
+		"half a record": func(p *peer) { p.raw([]byte{0xa1, 0x01}) },
+		"no CBOR":       func(p *peer) { p.raw([]byte("GET / HTTP/1.1\r\n")) },
+		"endless": func(p *peer) {
+			p.raw(append([]byte{0xa1, 0x01, 0x9b, 0, 0, 0, 0, 0x7f, 0, 0, 0}, make([]byte, 64<<10)...))
+		},
+		"a long text": func(p *peer) {
+			p.raw(append([]byte{0xa1, 0x01, 0xa1, 0x01, 0x7a, 0, 1, 0, 0}, bytes.Repeat([]byte("x"), 64<<10)...))
+		},
+		"deep":            func(p *peer) { p.raw(bytes.Repeat([]byte{0x81}, 5000)) },
+		"no part":         func(p *peer) { p.say(protocol.FromFollower{}) },
+		"no name":         func(p *peer) { p.say(protocol.FromFollower{Hello: &protocol.Hello{}}) },
+		"a long name":     func(p *peer) { p.say(protocol.FromFollower{Hello: &protocol.Hello{Name: long}}) },
+		"a long region":   func(p *peer) { p.say(protocol.FromFollower{Hello: &protocol.Hello{Name: "a", Region: long}}) },
+		"an ack at first": func(p *peer) { p.say(protocol.FromFollower{Ack: &protocol.Ack{}}) },
+		"both parts": func(p *peer) {
+			p.say(protocol.FromFollower{Hello: &protocol.Hello{Name: "a"}, Ack: &protocol.Ack{}})
+		},
+		"hello twice": func(p *peer) {
+			for range 2 {
+				p.say(protocol.FromFollower{Hello: &protocol.Hello{Name: "a"}})
+			}
+		},
+		"nonsense after hello": func(p *peer) { p.say(protocol.FromFollower{Hello: &protocol.Hello{Name: "a"}}); p.raw([]byte{0xff}) },
+	} {
+		p, err := dial(t, m.Address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		go say(p) // the machine may stop reading halfway
+		for n := 0; err == nil && n < 10; n++ {
+			_, err = p.next()
+		}
+		if err == nil {
+			t.Errorf("%s: the stream goes on", name)
+		}
+	}
+	eventually(t, "all places are free", func() bool { n, _ := m.book.counts(); return n == 0 && len(m.places) == 0 })
+	hello(t, m.Address, protocol.Hello{}).reach(document.Empty(), 1)
+}
+
+// One that takes what it is sent and never says what became of it is cut off; one
+// that answers stays.
+func TestSilentFollowerIsCutOff(t *testing.T) {
+	m := serve(t, Settings{}, func(p *Publisher) { p.ackWithin = 100 * time.Millisecond })
+	m.versionsUpTo(t, 1)
+	good := hello(t, m.Address, protocol.Hello{Name: "good"})
+	good.reach(document.Empty(), 1)
+	silent := hello(t, m.Address, protocol.Hello{Name: "silent"})
+	for {
+		if _, err := silent.next(); err != nil {
+			break
+		}
+	}
+	var lines []protocol.Follower
+	eventually(t, "it is listed as gone", func() (gone bool) {
+		var err error
+		if lines, err = m.Followers(within(t), false); err != nil {
+			t.Fatal(err)
+		}
+		return len(lines) == 2 && !lines[1].Connected
+	})
+	if !lines[0].Connected || lines[0].LagMS != 0 || lines[1].LagMS == 0 {
+		t.Errorf("%+v", lines)
+	}
+}
+
+// One more than the places is told to come back, and comes in when one is free.
+func TestPlacesAreBounded(t *testing.T) {
+	m := serve(t, Settings{}, func(p *Publisher) { p.places = make(chan struct{}, 2) })
+	a := hello(t, m.Address, protocol.Hello{Name: "a"})
+	a.beat()
+	b := hello(t, m.Address, protocol.Hello{Name: "b"})
+	b.beat()
+	if _, err := dial(t, m.Address); err == nil || !strings.Contains(err.Error(), `status 503, Retry-After "2"`) {
+		t.Errorf("%v", err)
+	}
+	a.close()
+	eventually(t, "a place is free", func() bool { _, err := dial(t, m.Address); return err == nil })
+}
+
+// Those that are gone are told of for a while, as many as are allowed, and one
+// that came back once.
+func TestThoseThatAreGone(t *testing.T) {
+	b, v := newBook(), newVersions(document.Empty())
+	now := time.Now()
+	for i := range mostGone + 10 {
+		b.leave(b.join(&protocol.Hello{Name: fmt.Sprintf("s%05d", i)}, now), now.Add(time.Duration(i)))
+	}
+	lines := b.list(v, now.Add(time.Second))
+	if len(lines) != mostGone || lines[0].Name != "s00010" || !slices.IsSortedFunc(lines, func(a, b protocol.Follower) int { return strings.Compare(a.Name, b.Name) }) {
+		t.Errorf("%d lines, the first %+v", len(lines), lines[0])
+	}
+	back := b.join(&protocol.Hello{Name: "s00100"}, now)
+	twin := b.join(&protocol.Hello{Name: "s00100"}, now)
+	b.leave(back, now)
+	if lines = b.list(v, now); len(lines) != mostGone {
+		t.Errorf("%d lines with one that came back", len(lines))
+	}
+	b.leave(twin, now)
+	if lines = b.list(v, now.Add(2*keepFollowers)); len(lines) != 0 {
+		t.Errorf("%d lines long after", len(lines))
+	}
+}
+
+// The pages and the client: what is published comes back, all faults of a file
+// are named, and each refusal is the error that it was.
+func TestClient(t *testing.T) {
+	m := serve(t, Settings{})
+	ctx := within(t)
+	const file = "[machine]\ncores = 2\n[[team]]\nname = \"red\"\nrequests_per_s = 5\n[[service]]\nname = \"maps\"\nowner = \"red\"\n" +
+		"[[service.contract]]\nclass = \"draw\"\neffect = \"repeatable\"\ndeadline_ms = 900\n"
+	h, err := m.File(ctx, []byte(file), document.Meta{Author: "ana ö", Reason: "line\nline"}, document.Digest{})
+	if err != nil || h != m.Document().Header() || h.Author != "ana ö" || h.Reason != "line\nline" || h.Time == 0 {
+		t.Fatalf("%+v, %v", h, err)
+	}
+	if _, ok := m.Document().Service("maps"); !ok {
+		t.Error("the service is not there")
+	}
+	v, err := m.Version(ctx)
+	if err != nil || v.Number != 1 || !strings.HasPrefix(v.Digest, m.Document().Digest().String()) || v.Originator != "" || v.Name != "c0" {
+		t.Errorf("%+v, %v", v, err)
+	}
+	in := m.Document().Digest()
+	if h, err = m.Changes(ctx, []document.Change{team("blue", 3)}, byTest, in); err != nil || h.Number != 2 || h.Parent != in {
+		t.Errorf("%+v, %v", h, err)
+	}
+	for _, c := range []struct {
+		name  string
+		do    func() error
+		want  error
+		texts []string
+	}{
+		{"the same file", func() error {
+			_, err := m.File(ctx, []byte(file+"[[team]]\nname = \"blue\"\nrequests_per_s = 3\n"), byTest, document.Digest{})
+			return err
+		}, ErrSame, nil},
+		{"another base", func() error { _, err := m.File(ctx, []byte(file), byTest, in); return err }, ErrBase, []string{"in force is 2"}},
+		{"faults in the file", func() error {
+			_, err := m.File(ctx, []byte(strings.ReplaceAll(file, "requests_per_s", "quota")+"[[teem]]\nname = \"a\"\n"), byTest, document.Digest{})
+			return err
+		}, ErrFaults, []string{"team.quota", "teem"}},
+		{"names twice", func() error {
+			_, err := m.File(ctx, []byte(file+"[[team]]\nname = \"red\"\nrequests_per_s = 1\n[[team]]\nrequests_per_s = 1\n"), byTest, document.Digest{})
+			return err
+		}, ErrFaults, []string{"team[1].name", "team[2].name"}},
+		{"no TOML", func() error { _, err := m.File(ctx, []byte("]"), byTest, document.Digest{}); return err }, ErrFaults, nil},
+		{"faulty changes", func() error {
+			_, err := m.Changes(ctx, []document.Change{team("a", -1), {Drop: true, Team: &document.Team{Name: "nobody"}}}, byTest, document.Digest{})
+			return err
+		}, ErrFaults, []string{"a", "nobody"}},
+		{"no author or reason", func() error {
+			_, err := m.Changes(ctx, []document.Change{team("a", 1)}, document.Meta{}, document.Digest{})
+			return err
+		}, ErrFaults, []string{"author", "reason"}},
+		{"a long reason", func() error {
+			_, err := m.Changes(ctx, []document.Change{team("a", 1)}, document.Meta{Author: "a", Reason: strings.Repeat("x", document.MostText+1)}, document.Digest{})
+			return err
+		}, ErrFaults, []string{"reason"}},
+	} {
+		err := c.do()
+		if !errors.Is(err, c.want) {
+			t.Errorf("%s: %v, want %v", c.name, err, c.want)
+		}
+		for _, text := range c.texts {
+			if err == nil || !strings.Contains(err.Error(), text) {
+				t.Errorf("%s: %v does not name %q", c.name, err, text)
+			}
+		}
+	}
+	if m.Document().Header() != h {
+		t.Error("what was refused is in force")
+	}
+}
+
+// Requests that are no use get a status that says so.
+func TestStatus(t *testing.T) {
+	m := serve(t, Settings{})
+	post := func(path, kind, body string) int {
+		t.Helper()
+		a, err := http.Post("http://"+m.Address+path, kind, strings.NewReader(body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		a.Body.Close()
+		return a.StatusCode
+	}
+	const meta = "?author=a&reason=b"
+	for _, c := range []struct {
+		path, kind, body string
+		want             int
+	}{
+		{protocol.PathFollow, "", "", 505}, // HTTP/1.1
+		{protocol.PathVersions + meta, "text/plain", "x", 415},
+		{protocol.PathVersions + meta, typeChanges, "x", 400},
+		{protocol.PathVersions + meta, typeChanges, "\x9b\x7f\xff\xff\xff\xff\xff\xff\xff", 400},
+		{protocol.PathVersions + meta + "&base=12", typeFile, "", 400},
+		{protocol.PathVersions + meta, typeFile, strings.Repeat("#", protocol.MostMessage+1), 400},
+		{protocol.PathVersions + meta, typeFile, "", 409},
+		{protocol.PathVersion, "", "", 405},
+		{"/", "", "", 404},
+	} {
+		if got := post(c.path, c.kind, c.body); got != c.want {
+			t.Errorf("%s %s %.20q: %d, want %d", c.path, c.kind, c.body, got, c.want)
+		}
+	}
+	for range mostBodies {
+		m.bodies <- struct{}{}
+	}
+	if got := post(protocol.PathVersions+meta, typeFile, ""); got != 503 {
+		t.Errorf("%d, want 503", got)
+	}
+}
+
+// A machine that leaves ends its streams at once and is gone.
+func TestLeave(t *testing.T) {
+	m := serve(t, Settings{})
+	m.versionsUpTo(t, 1)
+	p := hello(t, m.Address, protocol.Hello{})
+	p.reach(document.Empty(), 1)
+	began := time.Now()
+	m.leave()
+	for {
+		if _, err := p.next(); err != nil {
+			break
+		}
+	}
+	if took := time.Since(began); took > leaveWithin {
+		t.Errorf("it took %v", took)
+	}
+}
--- /dev/null
+++ b/internal/control/publish/store.go
@@ -0,0 +1,329 @@
+package publish
+
+import (
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"runtime"
+	"strings"
+	"sync"
+
+	"github.com/cockroachdb/pebble/v2"
+	"github.com/cockroachdb/pebble/v2/vfs"
+
+	"kiteslip/internal/control/document"
+)
+
+// The log on disk. Below one letter each: the format, the head (number and
+// digest of the version in force), a snapshot, and the deltas by number.
+const (
+	cacheBytes  = 1 << 20
+	memTable    = 1 << 20
+	openFiles   = 64
+	formatKey   = "f"
+	headKey     = "h"
+	snapshotKey = "s"
+	deltaPrefix = 'd'
+	formatWord  = "kiteslip versions 1"
+
+	snapshotEvery = 256     // deltas that Open applies at most ...
+	snapshotBytes = 4 << 20 // ... or bytes of them
+)
+
+// record is a delta as it is stored: one version.
+type record struct {
+	number uint64
+	parent document.Digest
+	digest document.Digest
+	delta  []byte // by Delta.Encode
+}
+
+func newRecord(delta *document.Delta, text []byte) record {
+	h := &delta.Header
+	return record{h.Number, h.Parent, h.Digest(), text}
+}
+
+// store is an open folder. Writes come from one goroutine at a time.
+type store struct {
+	db    *pebble.DB
+	cache *pebble.Cache
+
+	mu     sync.Mutex
+	failed error
+	broken chan struct{} // closed when it has failed
+}
+
+// quiet is the log of the database: what it calls fatal fails the store, in
+// the goroutine that met it, and not the process.
+type quiet struct{ s *store }
+
+func (q quiet) Infof(string, ...any)  {}
+func (q quiet) Errorf(string, ...any) {}
+func (q quiet) Fatalf(format string, args ...any) {
+	q.s.fail(fmt.Errorf(format, args...))
+	runtime.Goexit()
+}
+
+func (s *store) fail(err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.failed == nil {
+		s.failed = fmt.Errorf("%w: %w", ErrDisk, err)
+		close(s.broken)
+	}
+}
+
+// failure is why nothing can be written any more; nil = it can.
+func (s *store) failure() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.failed
+}
+
+// apart runs f where a failure of the database may end the goroutine.
+func (s *store) apart(f func() error) error {
+	if err := s.failure(); err != nil {
+		return err
+	}
+	done := make(chan error, 1)
+	go func() {
+		defer func() {
+			if p := recover(); p != nil {
+				s.fail(fmt.Errorf("%v", p))
+			}
+		}()
+		done <- f()
+	}()
+	select {
+	case err := <-done:
+		return err
+	case <-s.broken:
+		return s.failure()
+	}
+}
+
+func openStore(folder string, fs vfs.FS) (*store, error) {
+	s := &store{broken: make(chan struct{}), cache: pebble.NewCache(cacheBytes)}
+	o := &pebble.Options{FS: fs, Cache: s.cache, MemTableSize: memTable, MaxOpenFiles: openFiles, Logger: quiet{s},
+		FormatMajorVersion: pebble.FormatNewest}
+	err := s.apart(func() (err error) {
+		s.db, err = pebble.Open(folder, o)
+		return err
+	})
+	if err != nil {
+		s.cache.Unref()
+		return nil, named(err)
+	}
+	if err := s.apart(s.greet); err != nil {
+		return nil, errors.Join(named(err), s.close())
+	}
+	return s, nil
+}
+
+// named gives the database's errors the names of this package.
+func named(err error) error {
+	text := err.Error()
+	switch {
+	case errors.Is(err, ErrDamage), errors.Is(err, ErrFolder):
+		return err
+	case strings.Contains(text, "lock held by current process"), strings.Contains(text, "resource temporarily unavailable"):
+		return fmt.Errorf("%w (%w)", ErrInUse, err)
+	case errors.Is(err, pebble.ErrCorruption), strings.Contains(text, "corrupt"), strings.Contains(text, "checksum"):
+		return fmt.Errorf("%w (%w)", ErrDamage, err)
+	}
+	return err
+}
+
+// greet looks whether the folder holds a log of versions; an empty one becomes one.
+func (s *store) greet() error {
+	format, err := s.get(formatKey)
+	switch {
+	case err != nil:
+		return err
+	case string(format) == formatWord:
+		return nil
+	case format != nil:
+		return fmt.Errorf("%w: it says %.40q, want %q", ErrFolder, format, formatWord)
+	}
+	it, err := s.db.NewIter(nil)
+	if err != nil {
+		return err
+	}
+	strange := it.First()
+	if err := it.Close(); err != nil {
+		return err
+	}
+	if strange {
+		return ErrFolder
+	}
+	return s.db.Set([]byte(formatKey), []byte(formatWord), pebble.Sync)
+}
+
+// get returns nil where there is nothing.
+func (s *store) get(key string) ([]byte, error) {
+	value, closer, err := s.db.Get([]byte(key))
+	if errors.Is(err, pebble.ErrNotFound) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	defer closer.Close()
+	return bytes.Clone(value), nil
+}
+
+// load reads the log and checks it whole. It returns the version in force, the
+// deltas that lead to it in order, and the number of the version that the
+// snapshot on disk is of.
+func (s *store) load() (doc *document.Document, deltas []record, snapshot uint64, err error) {
+	err = s.apart(func() error {
+		if doc, err = s.snapshot(); err != nil {
+			return err
+		}
+		snapshot = doc.Header().Number
+		it, err := s.db.NewIter(&pebble.IterOptions{LowerBound: []byte{deltaPrefix}, UpperBound: []byte{deltaPrefix + 1}})
+		if err != nil {
+			return err
+		}
+		defer it.Close()
+		for it.First(); it.Valid(); it.Next() {
+			r, delta, err := decodeRecord(it.Key(), it.Value())
+			if err != nil {
+				return err
+			}
+			if n := len(deltas); n > 0 {
+				before := &deltas[n-1]
+				if r.number != before.number+1 {
+					return fmt.Errorf("%w: version %d is absent", ErrDamage, before.number+1)
+				}
+				if r.parent != before.digest {
+					return fmt.Errorf("%w: version %d is not the one that version %d follows", ErrDamage, before.number, r.number)
+				}
+			} else if r.number > snapshot+1 {
+				return fmt.Errorf("%w: version %d is absent", ErrDamage, snapshot+1)
+			}
+			switch {
+			case r.number == snapshot && r.digest != doc.Digest():
+				return fmt.Errorf("%w: version %d is not the one in the snapshot", ErrDamage, r.number)
+			case r.number > snapshot:
+				next, err := doc.Apply(delta)
+				if err != nil {
+					return fmt.Errorf("%w: version %d: %w", ErrDamage, r.number, err)
+				}
+				doc = next
+			}
+			deltas = append(deltas, r)
+		}
+		if err := it.Error(); err != nil {
+			return err
+		}
+		return s.checkHead(doc)
+	})
+	if err != nil {
+		return nil, nil, 0, named(err)
+	}
+	return doc, deltas, snapshot, nil
+}
+
+func (s *store) snapshot() (*document.Document, error) {
+	b, err := s.get(snapshotKey)
+	if err != nil || b == nil {
+		return document.Empty(), err
+	}
+	doc, err := document.Open(b)
+	if err != nil {
+		return nil, fmt.Errorf("%w: the snapshot: %w", ErrDamage, err)
+	}
+	return doc, nil
+}
+
+// checkHead finds a log that lacks its end.
+func (s *store) checkHead(doc *document.Document) error {
+	head, err := s.get(headKey)
+	if err != nil {
+		return err
+	}
+	number, digest := uint64(0), document.Empty().Digest()
+	if head != nil {
+		if len(head) != 8+len(digest) {
+			return fmt.Errorf("%w: the head is %d bytes", ErrDamage, len(head))
+		}
+		number, digest = binary.BigEndian.Uint64(head), document.Digest(head[8:])
+	}
+	if at := doc.Header().Number; at != number || doc.Digest() != digest {
+		return fmt.Errorf("%w: it ends with version %d %v, want %d %v", ErrDamage, at, doc.Digest(), number, digest)
+	}
+	return nil
+}
+
+func deltaKey(number uint64) []byte {
+	return binary.BigEndian.AppendUint64([]byte{deltaPrefix}, number)
+}
+
+func decodeRecord(key, value []byte) (record, *document.Delta, error) {
+	if len(key) != 9 {
+		return record{}, nil, fmt.Errorf("%w: an entry %x", ErrDamage, key)
+	}
+	number, text := binary.BigEndian.Uint64(key[1:]), bytes.Clone(value)
+	delta, err := document.DecodeDelta(text)
+	if err != nil {
+		return record{}, nil, fmt.Errorf("%w: version %d: %w", ErrDamage, number, err)
+	}
+	if delta.Header.Number != number {
+		return record{}, nil, fmt.Errorf("%w: version %d says that it is %d", ErrDamage, number, delta.Header.Number)
+	}
+	return newRecord(delta, text), delta, nil
+}
+
+// write is one step of the log.
+type write struct {
+	add      *record // nil where the version came whole
+	snapshot []byte  // nil = the one on disk stays
+	from, to uint64  // deltas from ... to, without the last, are dropped
+	number   uint64  // of the head
+	digest   document.Digest
+}
+
+// commit makes a step durable, whole or not at all.
+func (s *store) commit(w *write) error {
+	return s.apart(func() error {
+		b := s.db.NewBatch()
+		if w.from < w.to {
+			if err := b.DeleteRange(deltaKey(w.from), deltaKey(w.to), nil); err != nil {
+				return err
+			}
+		}
+		if w.snapshot != nil {
+			if err := b.Set([]byte(snapshotKey), w.snapshot, nil); err != nil {
+				return err
+			}
+		}
+		if w.add != nil {
+			if err := b.Set(deltaKey(w.add.number), w.add.delta, nil); err != nil {
+				return err
+			}
+		}
+		head := append(binary.BigEndian.AppendUint64(nil, w.number), w.digest[:]...)
+		if err := b.Set([]byte(headKey), head, nil); err != nil {
+			return err
+		}
+		if err := b.Commit(pebble.Sync); err != nil {
+			// What is on disk is not known: nothing may be added to it.
+			s.fail(err)
+			return s.failure()
+		}
+		return nil
+	})
+}
+
+// close closes the folder. A database that has failed may not let itself be
+// closed; its lock goes with the process then.
+func (s *store) close() error {
+	if s.failure() != nil {
+		return nil
+	}
+	err := s.apart(s.db.Close)
+	s.cache.Unref()
+	return err
+}
