--- a/internal/config/publisher.go
+++ b/internal/config/publisher.go
@@ -88,6 +88,9 @@
 	return c, errors.Join(errs...)
 }
 
+// ofMachine are the sections of an operator's file that set up a machine.
+var ofMachine = []string{"uwsgi", "machine", "keys", "control"}
+
 // ContentOf reads what the fleet serves by from an operator's file: its teams,
 // services and pools, in the order of names. The sections that set up a machine
 // are passed over. Its error names all keys that are not known, and names that
@@ -101,7 +104,7 @@
 	var errs problems
 	for _, key := range meta.Undecoded() {
 		// A section with a misspelt name would drop all that it was meant to hold.
-		if key[0] != "control" {
+		if !slices.Contains(ofMachine, key[0]) {
 			errs.add(key.String(), "is not known")
 		}
 	}
--- a/internal/control/publish/book.go
+++ b/internal/control/publish/book.go
@@ -60,8 +60,9 @@
 		}
 	}
 	m.seen = now
-	b.gone[m.name] = m
-	b.expire(now)
+	if b.gone[m.name] = m; len(b.gone) > mostGone {
+		b.expire(now)
+	}
 }
 
 // expire drops those gone for long, and the longest gone beyond the bound.
