One arrival of a tenant with a thin quota is within its share

A quota is divided by the workers. With 21,000 tenants over 470 of them 0.003 requests/s are left here, 0.012 arrivals in the 4 s memory of rates.

From counting noise: a count of n tells the rate to within a root of n. Where less than one is expected, the first arrival tells nothing. More is beyond the share as before: of a flood of 40 in 0.4 s under 0.0275 lies within.

Ruled out: a memory so long that one is expected in it (333 s here). It would see a tenant that sends every worker one request in each 4 s, which passes now (117/s over 470 workers), but after a burst of 1,000 a small tenant would stay beyond its share for 38 minutes (reckoned), and what callers send to a few workers alone would count as if all had it.

--- a/groups_test.go
+++ b/groups_test.go
@@ -235,7 +235,7 @@
 			if len(m.held) > 0 && rng.IntN(30) == 0 {
 				events = append(events, Event{Kind: Gone, ID: take(rng, &m.held)})
 			}
-			if len(m.running) > 0 && rng.IntN(30) == 0 { // its run goes on until it is stopped
+			if len(m.running) > 0 && rng.IntN(10) == 0 { // its run goes on until it is stopped
 				events = append(events, Event{Kind: Gone, ID: m.running[rng.IntN(len(m.running))]})
 			}
 			m.step(now, events)
@@ -478,3 +478,55 @@
 		})
 	}
 }
+
+// A quota that is thin over many workers leaves less than one arrival here in the memory of rates. One of them
+// counted as eighty times the share then, and all that small tenants send lay beyond it.
+func TestOneArrivalOfAThinQuotaIsWithinItsShare(t *testing.T) {
+	worker := func(quota ...float64) *bench {
+		return start(t, func(s *Settings) {
+			s.Cores, s.Workers, s.OverShareWorth, s.Below = 1, 470, 0.05, BelowNone
+			for _, q := range quota {
+				s.Tenants = append(s.Tenants, Tenant{Quota: q})
+			}
+		})
+	}
+	const thin = 30_000.0 / 21_000
+	b := worker(47_000, thin)
+	b.step(0, arrival(90, 0)) // takes the one place
+	small, big := arrival(1, 0), arrival(2, 0)
+	small.Tenant = 1
+	b.step(1000, small)
+	b.step(2000, big)
+	if in := b.w.inShare(1); in != 1 {
+		t.Errorf("%v of the one arrival is within the share", in)
+	}
+	b.want(b.step(3000, Event{Kind: Done, ID: 90, Outcome: OK}), Run, 1, true) // the first of equals
+
+	b = worker(47_000, thin, 0) // a flood of such a tenant goes behind another's arrival still
+	b.step(0, arrival(90, 0))
+	for id := RequestID(100); id < 140; id++ {
+		flood := arrival(id, 0)
+		flood.Tenant = 1
+		b.step(int64(id)*10_000, flood)
+	}
+	if in := b.w.inShare(1); in > 1.1/40 {
+		t.Errorf("%v of the flood is within the share", in)
+	}
+	b.step(1_500_000, arrival(2, 0))
+	b.want(b.step(1_600_000, Event{Kind: Done, ID: 90, Outcome: OK}), Run, 2, true)
+	none := arrival(3, 0)
+	none.Tenant = 2
+	if b.step(1_700_000, none); b.w.inShare(2) != 0 {
+		t.Errorf("a tenant without a quota has %v within its share", b.w.inShare(2))
+	}
+
+	rng := rand.New(rand.NewPCG(8, 8)) // from one arrival in the memory on, the share is the plain ratio to the bit
+	for range 2000 {
+		quota, arrived := 470*(0.25+math.Exp(8*rng.Float64()-2)), 60*rng.Float64()
+		b.w.set.Tenants[1].Quota = quota
+		b.w.fading.touch(&b.w.tenants, 1).arrived = arrived
+		if got, want := b.w.inShare(1), min(1, quota/470/max(arrived/4, 1e-9)); got != want {
+			t.Fatalf("quota %v, %v arrived: share %v, want %v", quota, arrived, got, want)
+		}
+	}
+}
