What is known of a class stands in one record, and tests set bases through the books

A class's group, base, runs and wait lay in four lists: with 2,800 classes each request touched as many cold cache lines. They are one record of 64 bytes now. Tests that set a base directly left the kept sums behind; they use rebase. No decision changes: the comparison with the plain form passes as before.

--- a/groups.go
+++ b/groups.go
@@ -21,10 +21,11 @@
 	at            int64   // of the last touch
 }
 
-// groups are all classes or all tenants.
-type groups struct {
-	list []group
-	all  group // asked and served of the whole list, as of this batch
+// class is what is known of a class, in one cache line: that of thousands lies cold when its request comes.
+type class struct {
+	group
+	base, runs, wait float64 // mean work of a run, runs so far, mean time of a run at calls
+	rank             int     // of its aim in byAim, see weights
 }
 
 // fading is the clock of what fades: this batch, the one before, and what is left since.
@@ -39,9 +40,8 @@
 	f.step = math.Exp(-float64(dt) / rateOver)
 }
 
-// touch returns group i of the list as it is now. What is touched in each batch costs no exponential.
-func (f *fading) touch(of *groups, i int) *group {
-	g := &of.list[i]
+// touch returns g as it is now. What is touched in each batch costs no exponential.
+func (f *fading) touch(g *group) *group {
 	if g.at == f.now {
 		return g
 	}
@@ -70,7 +70,6 @@
 	asked, askedBase, askedAim float64 // fading: of weights, of weights times bases, and times aims
 	bases                      sum
 	aims                       float64  // of all classes
-	rank                       []int32  // by class: of its aim in byAim
 	live                       []uint64 // a bit for each of byAim: it may be lively
 	byAim                      []aimed  // by aim, the shortest first
 }
@@ -86,13 +85,13 @@
 
 // ask books that worth x is asked of a class.
 func (w *Worker) ask(class int, x float64) {
-	g := w.fading.touch(&w.classes, class)
+	g := w.fading.touch(&w.classes[class].group)
 	g.asked += x
-	w.classes.all.asked += x
+	w.allClasses.asked += x
 	c, m := &w.set.Classes[class], &w.weights
 	k := c.inRequests(x)
 	m.asked += k
-	m.askedBase += k * w.base[class]
+	m.askedBase += k * w.classes[class].base
 	m.askedAim += k * float64(c.Aim)
 	w.enliven(class, c.inRequests(g.asked))
 }
@@ -100,7 +99,7 @@
 // enliven notes until when a class that weighs so much now will be minded for its aim.
 func (w *Worker) enliven(class int, asked float64) {
 	if asked > lively-trifle {
-		rank := w.weights.rank[class]
+		rank := w.classes[class].rank
 		at := &w.weights.byAim[rank]
 		at.until = max(at.until, w.fading.now+int64(math.Ceil(rateOver*math.Log(asked/(lively-trifle)))))
 		w.weights.live[rank/64] |= 1 << (rank % 64)
@@ -109,32 +108,32 @@
 
 // askTenant books that worth x is asked for by a tenant.
 func (w *Worker) askTenant(tenant int, x float64) {
-	w.fading.touch(&w.tenants, tenant).asked += x
-	w.tenants.all.asked += x
+	w.fading.touch(&w.tenants[tenant]).asked += x
+	w.allTenants.asked += x
 }
 
 // serve books worth x that was served on time.
 func (w *Worker) serve(class, tenant int, x float64) {
-	w.fading.touch(&w.classes, class).served += x
-	w.fading.touch(&w.tenants, tenant).served += x
-	w.classes.all.served += x
-	w.tenants.all.served += x
+	w.fading.touch(&w.classes[class].group).served += x
+	w.fading.touch(&w.tenants[tenant]).served += x
+	w.allClasses.served += x
+	w.allTenants.served += x
 }
 
 // rebase sets the base of a class.
 func (w *Worker) rebase(class int, base float64) {
-	k := w.set.Classes[class].inRequests(w.fading.touch(&w.classes, class).asked)
-	w.weights.askedBase += k * (base - w.base[class])
+	k := w.set.Classes[class].inRequests(w.fading.touch(&w.classes[class].group).asked)
+	w.weights.askedBase += k * (base - w.classes[class].base)
 	w.weights.bases.add(base)
-	w.weights.bases.add(-w.base[class])
-	w.base[class] = base
+	w.weights.bases.add(-w.classes[class].base)
+	w.classes[class].base = base
 }
 
 // fadeAll lets the sums fade by what is left since the batch before.
 func (w *Worker) fadeAll() {
 	left, m := w.fading.step, &w.weights
-	w.classes.all.asked, w.classes.all.served = w.classes.all.asked*left, w.classes.all.served*left
-	w.tenants.all.asked, w.tenants.all.served = w.tenants.all.asked*left, w.tenants.all.served*left
+	w.allClasses.asked, w.allClasses.served = w.allClasses.asked*left, w.allClasses.served*left
+	w.allTenants.asked, w.allTenants.served = w.allTenants.asked*left, w.allTenants.served*left
 	m.asked, m.askedBase, m.askedAim = m.asked*left, m.askedBase*left, m.askedAim*left
 }
 
@@ -163,19 +162,18 @@
 	}
 	slices.Sort(aims)
 	aims = slices.Compact(aims)
-	*m = weights{rank: make([]int32, len(classes)), live: make([]uint64, len(aims)/64+1), byAim: make([]aimed, len(aims))}
+	*m = weights{live: make([]uint64, len(aims)/64+1), byAim: make([]aimed, len(aims))}
 	for i, aim := range aims {
 		m.byAim[i] = aimed{aim, math.MinInt64}
 	}
 	for i := range classes {
 		aim := float64(classes[i].Aim)
-		rank, _ := slices.BinarySearch(aims, aim)
-		m.rank[i] = int32(rank)
-		m.bases.add(w.base[i])
+		w.classes[i].rank, _ = slices.BinarySearch(aims, aim)
+		m.bases.add(w.classes[i].base)
 		m.aims += aim
-		if k := classes[i].inRequests(w.fading.touch(&w.classes, i).asked); k > 0 {
+		if k := classes[i].inRequests(w.fading.touch(&w.classes[i].group).asked); k > 0 {
 			m.asked += k
-			m.askedBase += k * w.base[i]
+			m.askedBase += k * w.classes[i].base
 			m.askedAim += k * aim
 			w.enliven(i, k)
 		}
--- a/groups_test.go
+++ b/groups_test.go
@@ -58,17 +58,15 @@
 		w.callFirst()
 	}
 	w.advance(now)
-	for _, of := range []*groups{&w.classes, &w.tenants} { // all fade in each batch, by what is left since the last
-		for i := range of.list {
-			w.fading.touch(of, i)
-		}
+	for _, g := range append(classGroups(w), tenantGroups(w)...) { // all fade in each batch
+		w.fading.touch(g)
 	}
 	w.fresh = w.fresh[:0]
 	for i := range events {
 		acts = w.take(&events[i], acts)
 	}
 	w.count()
-	w.classes.all, w.tenants.all = plainTotal(w, &w.classes), plainTotal(w, &w.tenants) // and are added up
+	w.allClasses, w.allTenants = plainTotal(w, classGroups(w)), plainTotal(w, tenantGroups(w)) // and are added up
 	w.meanBase, w.meanAim, w.leastAim = plainMeans(w)
 	acts = w.settle(acts)
 	acts = w.admit(acts)
@@ -80,9 +78,23 @@
 	return w.arm(acts)
 }
 
-func plainTotal(w *Worker, of *groups) (all group) {
-	for i := range of.list {
-		g := w.fading.touch(of, i)
+func classGroups(w *Worker) (list []*group) {
+	for i := range w.classes {
+		list = append(list, &w.classes[i].group)
+	}
+	return list
+}
+
+func tenantGroups(w *Worker) (list []*group) {
+	for i := range w.tenants {
+		list = append(list, &w.tenants[i])
+	}
+	return list
+}
+
+func plainTotal(w *Worker, of []*group) (all group) {
+	for _, g := range of {
+		w.fading.touch(g)
 		all.asked += g.asked
 		all.served += g.served
 	}
@@ -94,8 +106,8 @@
 	n := 0.0
 	leastAim = math.Inf(1)
 	for i, c := range w.set.Classes {
-		k := w.fading.touch(&w.classes, i).asked/max(c.Worth, 1e-9) + 1e-6
-		meanBase += k * w.base[i]
+		k := w.fading.touch(&w.classes[i].group).asked/max(c.Worth, 1e-9) + 1e-6
+		meanBase += k * w.classes[i].base
 		meanAim += k * float64(c.Aim)
 		n += k
 		if k > 1e-3 || i == 0 {
@@ -112,16 +124,16 @@
 func wantSums(t *testing.T, w *Worker, what string) {
 	t.Helper()
 	c := *w
-	c.classes.list = append([]group(nil), w.classes.list...)
-	c.tenants.list = append([]group(nil), w.tenants.list...)
+	c.classes = append([]class(nil), w.classes...)
+	c.tenants = append([]group(nil), w.tenants...)
 	base, aim, least := plainMeans(&c)
-	classes, tenants := plainTotal(&c, &c.classes), plainTotal(&c, &c.tenants)
+	classes, tenants := plainTotal(&c, classGroups(&c)), plainTotal(&c, tenantGroups(&c))
 	for _, v := range []struct {
 		name       string
 		kept, want float64
 	}{
-		{"asked of classes", w.classes.all.asked, classes.asked}, {"served of classes", w.classes.all.served, classes.served},
-		{"asked by tenants", w.tenants.all.asked, tenants.asked}, {"served to tenants", w.tenants.all.served, tenants.served},
+		{"asked of classes", w.allClasses.asked, classes.asked}, {"served of classes", w.allClasses.served, classes.served},
+		{"asked by tenants", w.allTenants.asked, tenants.asked}, {"served to tenants", w.allTenants.served, tenants.served},
 		{"the mean base", w.meanBase, base}, {"the mean aim", w.meanAim, aim},
 	} {
 		if !near(v.kept, v.want) {
@@ -286,7 +298,7 @@
 	for _, least := range []float64{300, 500} { // the end of each, found by halving
 		on, off := w.now, w.now+1_000_000_000
 		for off-on > 1 {
-			g, mid := w.fading.touch(&w.classes, map[float64]int{300: 1, 500: 2}[least]), (on+off)/2
+			g, mid := w.fading.touch(&w.classes[map[float64]int{300: 1, 500: 2}[least]].group), (on+off)/2
 			c := w.set.Classes[map[float64]int{300: 1, 500: 2}[least]]
 			if c.inRequests(g.asked)*math.Exp(-float64(mid-g.at)/rateOver)+1e-6 > 1e-3 {
 				on = mid
@@ -357,7 +369,7 @@
 	}
 	for i := range s.Classes { // all classes have run
 		w.rebase(i, 5000)
-		w.baseN[i] = 20
+		w.classes[i].runs = 20
 	}
 	d := &decisions{w: w, rng: rand.New(rand.NewPCG(3, 3)), now: 1e15, held: held}
 	for range held + 600 {
@@ -524,7 +536,7 @@
 	for range 2000 {
 		quota, arrived := 470*(0.25+math.Exp(8*rng.Float64()-2)), 60*rng.Float64()
 		b.w.set.Tenants[1].Quota = quota
-		b.w.fading.touch(&b.w.tenants, 1).arrived = arrived
+		b.w.fading.touch(&b.w.tenants[1]).arrived = arrived
 		if got, want := b.w.inShare(1), min(1, quota/470/max(arrived/4, 1e-9)); got != want {
 			t.Fatalf("quota %v, %v arrived: share %v, want %v", quota, arrived, got, want)
 		}
--- a/policy.go
+++ b/policy.go
@@ -158,7 +158,7 @@
 	}
 	c := &w.set.Classes[e.Class]
 	r := request{id: e.ID, head: e.Prior, class: e.Class, reached: w.now - e.Waited, size: e.SizeKB,
-		tenant: max(0, min(e.Tenant, len(w.tenants.list)-1))}
+		tenant: max(0, min(e.Tenant, len(w.tenants)-1))}
 	if !(r.size > 0) {
 		r.size = w.largest
 	}
@@ -172,7 +172,7 @@
 	w.unread += (float64(e.Waited) - w.unread) * 2 * learn
 	w.largest = max(w.largest, r.size)
 	if !e.Again {
-		w.fading.touch(&w.tenants, r.tenant).arrived++
+		w.fading.touch(&w.tenants[r.tenant]).arrived++
 	}
 	if e.Prior == 0 {
 		w.ask(r.class, c.Worth)
--- a/policy_calls.go
+++ b/policy_calls.go
@@ -118,7 +118,8 @@
 	for i := range w.reqs {
 		if r := &w.reqs[i]; r.phase == atCall && !r.answered {
 			// What the call itself earns; what has most of its calls behind it goes first.
-			r.density = w.gain(r) * w.base[r.class] * (1 - w.set.Classes[r.class].SkipWorth) * float64(1+r.calls)
+			unskipped := 1 - w.set.Classes[r.class].SkipWorth
+			r.density = w.gain(r) * w.classes[r.class].base * unskipped * float64(1+r.calls)
 			w.waiting = append(w.waiting, i)
 		}
 	}
@@ -131,7 +132,7 @@
 		r := &w.reqs[i]
 		c := &w.set.Classes[r.class]
 		left := w.earnUntil(r) - w.now
-		rest := max(w.base[r.class]-r.work, w.base[r.class]*restShare)
+		rest := max(w.classes[r.class].base-r.work, w.classes[r.class].base*restShare)
 		turn := w.callMean * (1.5 + float64(n)/w.callLimit)
 		if r.tries > callTries && c.SkipWorth == 0 {
 			acts = w.fail(r, acts)
--- a/policy_limit.go
+++ b/policy_limit.go
@@ -31,7 +31,7 @@
 			w.failing += 2 * learn
 		}
 	}
-	if stopped := e.Outcome == Cancelled && r.work > w.base[r.class]; stopped && !wasCopy {
+	if stopped := e.Outcome == Cancelled && r.work > w.classes[r.class].base; stopped && !wasCopy {
 		w.learn(r) // it would have taken longer still: without these, only what is short is learned
 	}
 	if e.Outcome != OK {
@@ -44,7 +44,7 @@
 	if wasCopy {
 		return
 	}
-	late := float64(r.wall) > lateMultiple*w.base[r.class]
+	late := float64(r.wall) > lateMultiple*w.classes[r.class].base
 	w.learn(r)
 	w.spanDone++
 	if late {
@@ -68,17 +68,17 @@
 // learn takes the work of r into the base of its class. One run of many times the usual work moves it no
 // further than one of heavyRun bases.
 func (w *Worker) learn(r *request) {
-	w.baseN[r.class]++
-	weight := max(learn, 1/(w.baseN[r.class]+firstWeight))
-	base := w.base[r.class]
+	w.classes[r.class].runs++
+	weight := max(learn, 1/(w.classes[r.class].runs+firstWeight))
+	base := w.classes[r.class].base
 	w.rebase(r.class, base+(min(r.work, heavyRun*base)-base)*weight)
-	w.wait[r.class] += (float64(r.waits) - w.wait[r.class]) * weight
+	w.classes[r.class].wait += (float64(r.waits) - w.classes[r.class].wait) * weight
 }
 
 // mix takes the means over the classes, weighed by what is asked for.
 func (w *Worker) mix() {
 	m := &w.weights
-	n := m.asked + trifle*float64(len(m.rank))
+	n := m.asked + trifle*float64(len(w.classes))
 	w.meanBase = max((m.askedBase+trifle*(m.bases.high+m.bases.low))/n, 1)
 	w.meanAim = max((m.askedAim+trifle*m.aims)/n, 1)
 	w.leastAim = max(w.shortestAim(), 1)
--- a/policy_order.go
+++ b/policy_order.go
@@ -13,9 +13,9 @@
 	g, in := w.set.Goal, w.inShare(r.tenant)
 	worth := w.set.Classes[r.class].Worth * (in + (1-in)*w.set.OverShareWorth)
 	if !w.set.WorthByWork {
-		worth /= max(w.base[r.class], 1) // else what a longer one costs more, it also earns more
+		worth /= max(w.classes[r.class].base, 1) // else what a longer one costs more, it also earns more
 	}
-	class, tenant := w.lag(&w.classes, r.class), w.lag(&w.tenants, r.tenant)
+	class, tenant := w.lag(&w.classes[r.class].group, &w.allClasses), w.lag(&w.tenants[r.tenant], &w.allTenants)
 	return worth * (g.Whole + g.WorstClass*class + g.WorstTenant*tenant)
 }
 
@@ -29,7 +29,7 @@
 	if w.set.Stage > 0 || tenant >= len(w.set.Tenants) {
 		return 1
 	}
-	rate := w.fading.touch(&w.tenants, tenant).arrived / (rateOver / 1e6)
+	rate := w.fading.touch(&w.tenants[tenant]).arrived / (rateOver / 1e6)
 	share := w.set.Tenants[tenant].Quota / float64(w.set.Workers)
 	if share > 0 {
 		share = max(share, 1e6/rateOver)
@@ -38,12 +38,13 @@
 }
 
 // lag is the weight of one group's share in the goal, by how far it falls behind all.
-func (w *Worker) lag(of *groups, i int) float64 {
-	g, asked := w.fading.touch(of, i), of.all.asked+1e-9
+func (w *Worker) lag(g, all *group) float64 {
+	w.fading.touch(g)
+	asked := all.asked + 1e-9
 	if g.asked < 1 {
 		return 1
 	}
-	behind := (of.all.served/asked - g.served/g.asked) / lagFull
+	behind := (all.served/asked - g.served/g.asked) / lagFull
 	return max(0, min(1, behind)) * asked / g.asked
 }
 
@@ -80,7 +81,7 @@
 			}
 			w.order = append(w.order, i)
 		case running, atCall, calling:
-			b := w.base[r.class]
+			b := w.classes[r.class].base
 			if r.phase == atCall && !r.answered && w.set.Classes[r.class].SkipWorth == 0 {
 				w.must++
 			}
@@ -103,7 +104,7 @@
 	kept := w.order[:0]
 	for _, i := range w.order {
 		r := &w.reqs[i]
-		b := w.base[r.class]
+		b := w.classes[r.class].base
 		begin, hope := 0.0, r.aim
 		if w.onCore >= w.limit || len(kept) > 0 {
 			hope = r.hope
@@ -114,12 +115,12 @@
 			begin = min(begin, u.ahead/ceil.Cores)
 		}
 		c := &w.set.Classes[r.class]
-		finish := w.now + int64(begin+b*runAllowance+w.wait[r.class])
+		finish := w.now + int64(begin+b*runAllowance+w.classes[r.class].wait)
 		aim := min(hope, w.end(r))
 		if finish > aim && r.phase == held {
 			if c.LateWorth > 0 && finish <= w.end(r) && w.now < r.aim {
 				r.late = true
-			} else if w.baseN[r.class] > 0 && w.inHand > 0 {
+			} else if w.classes[r.class].runs > 0 && w.inHand > 0 {
 				// Guards against tries that walk on: each is read again, at a cost, until readings alone fill the fleet.
 				// What had its chance here stays refused; it hurts where others idle.
 				acts = w.refuse(r, w.away(finish-aim, c), true, acts)
--- a/policy_start.go
+++ b/policy_start.go
@@ -46,7 +46,7 @@
 			if r.phase == held {
 				// What runs and then waits for its call too long is lost, and a keyed one for good: it is held.
 				if c := &w.set.Classes[r.class]; w.shared && c.Calls && c.SkipWorth == 0 &&
-					(float64(w.must) >= w.callLimit || w.callNext > w.now+int64(w.base[r.class]*restShare)) {
+					(float64(w.must) >= w.callLimit || w.callNext > w.now+int64(w.classes[r.class].base*restShare)) {
 					continue
 				}
 				more := r.size * (w.set.RunFactor - 1)
--- a/policy_test.go
+++ b/policy_test.go
@@ -789,7 +789,7 @@
 			b.step(now+20_000, Event{Kind: Gone, ID: id})
 		}
 	}
-	if flood, within := b.w.lag(&b.w.tenants, 0), b.w.lag(&b.w.tenants, 1); flood >= within {
+	if flood, within := b.w.lag(&b.w.tenants[0], &b.w.allTenants), b.w.lag(&b.w.tenants[1], &b.w.allTenants); flood >= within {
 		t.Errorf("the flood lags by %v, the tenant within its share by %v", flood, within)
 	}
 }
@@ -858,11 +858,11 @@
 // One short first run made a base of a few milliseconds: health flapped and the limit was cut at every start.
 func TestOneShortRunIsNoBase(t *testing.T) {
 	b := start(t, nil)
-	guess := b.w.base[0]
+	guess := b.w.classes[0].base
 	b.step(1000, arrival(1, 0))
 	b.step(3000, Event{Kind: Done, ID: 1, Outcome: OK})
-	if b.w.base[0] < guess/2 || b.w.base[0] >= guess {
-		t.Errorf("the base went from %v to %v by one run of 2000", guess, b.w.base[0])
+	if b.w.classes[0].base < guess/2 || b.w.classes[0].base >= guess {
+		t.Errorf("the base went from %v to %v by one run of 2000", guess, b.w.classes[0].base)
 	}
 }
 
@@ -870,7 +870,8 @@
 // long run cut the limit each time, and quick servers stood half idle while they refused.
 func TestOneLongRunDoesNotCutTheLimit(t *testing.T) {
 	b := start(t, nil)
-	b.w.limit, b.w.base[0] = 6, 200_000
+	b.w.limit = 6
+	b.w.rebase(0, 200_000)
 	b.step(1000, arrival(1, 0))
 	b.step(901_000, Event{Kind: Done, ID: 1, Outcome: OK})
 	if b.w.limit < 6 {
@@ -879,7 +880,7 @@
 	now, id := int64(1_000_000), RequestID(2)
 	for range 12 { // all late
 		b.step(now, arrival(id, 0))
-		b.w.base[0] = 200_000
+		b.w.rebase(0, 200_000)
 		now += 900_000
 		b.step(now, Event{Kind: Done, ID: id, Outcome: OK})
 		id++
@@ -892,19 +893,21 @@
 // One run of thirty times the usual work doubled what was expected of all.
 func TestHeavyRunDoesNotSpoilTheBase(t *testing.T) {
 	b := start(t, nil)
-	b.w.base[0], b.w.baseN[0] = 200_000, 100
+	b.w.rebase(0, 200_000)
+	b.w.classes[0].runs = 100
 	b.w.set.Classes[0].Aim, b.w.set.Classes[0].Limit = 20_000_000, 20_000_000
 	b.step(1000, arrival(1, 0))
 	b.step(6_001_000, Event{Kind: Done, ID: 1, Outcome: OK})
-	if b.w.base[0] > 260_000 {
-		t.Errorf("the base went from 200000 to %v by one heavy run", b.w.base[0])
+	if b.w.classes[0].base > 260_000 {
+		t.Errorf("the base went from 200000 to %v by one heavy run", b.w.classes[0].base)
 	}
 }
 
 // Two heavy runs on two cores kept all else out, and turned health off for want of progress.
 func TestHeavyRunsLeaveRoomForOthers(t *testing.T) {
 	b := start(t, func(s *Settings) { s.Classes[0].Aim, s.Classes[0].Limit = 20_000_000, 20_000_000 })
-	b.w.base[0], b.w.baseN[0] = 200_000, 100
+	b.w.rebase(0, 200_000)
+	b.w.classes[0].runs = 100
 	b.step(1000, arrival(1, 0), arrival(2, 0))
 	b.want(b.step(500_000, arrival(3, 0)), Run, 3, false)
 	b.want(b.step(1_500_000, Event{Kind: Timer}), Run, 3, true)
@@ -951,7 +954,8 @@
 			s.Cores, s.WorthByWork = 1, byWork
 			s.Classes = []Class{{Aim: 3_000_000, Limit: 5_000_000, Worth: 2}, {Aim: 3_000_000, Limit: 5_000_000, Worth: 1}}
 		})
-		b.w.base[0], b.w.base[1] = 400_000, 100_000
+		b.w.rebase(0, 400_000)
+		b.w.rebase(1, 100_000)
 		b.want(b.step(1000, arrival(1, 0), arrival(2, 1)), Run, first, true)
 	}
 }
@@ -967,7 +971,8 @@
 			e := arrival(1, 0)
 			switch phase {
 			case "held":
-				b.w.base[0], b.w.limit = 1, 1
+				b.w.limit = 1
+				b.w.rebase(0, 1)
 				b.step(1000, arrival(9, 2))
 				b.step(1000, e)
 			case "copying":
@@ -1017,12 +1022,13 @@
 // Only finished, short runs were learned, and those stopped at their aim looked in time again and again.
 func TestStoppedRunsCountForTheBase(t *testing.T) {
 	b := start(t, nil)
-	b.w.base[0], b.w.baseN[0] = 200_000, 100
+	b.w.rebase(0, 200_000)
+	b.w.classes[0].runs = 100
 	b.step(1000, arrival(1, 0))
 	b.step(2_001_001, Event{Kind: Timer}) // stopped and answered at its aim
 	b.step(2_002_000, Event{Kind: Done, ID: 1, Outcome: Cancelled})
-	if b.w.base[0] <= 210_000 {
-		t.Errorf("the base stays at %v after a run stopped at 2000000", b.w.base[0])
+	if b.w.classes[0].base <= 210_000 {
+		t.Errorf("the base stays at %v after a run stopped at 2000000", b.w.classes[0].base)
 	}
 }
 
@@ -1190,8 +1196,8 @@
 	late.Tenant = 1
 	b.want(b.step(2000, late), Run, 2, true)
 	b.step(3000, Event{Kind: Done, ID: 1, Outcome: OK, Elapsed: 2000}, Event{Kind: Done, ID: 2, Outcome: OK, Elapsed: 1000})
-	if b.w.baseN[1] != 1 || b.w.baseN[3] != 1 || b.w.inHand != 0 {
-		t.Errorf("what was open is lost: %v, %d in hand", b.w.baseN, b.w.inHand)
+	if b.w.classes[1].runs != 1 || b.w.classes[3].runs != 1 || b.w.inHand != 0 {
+		t.Errorf("what was open is lost: %v, %d in hand", b.w.classes, b.w.inHand)
 	}
 	before := b.w.set.Classes
 	for what, s := range map[string]Settings{"fewer classes": settings(), "no classes": {Cores: 1, MemoryKB: 1}} {
--- a/state.go
+++ b/state.go
@@ -99,20 +99,18 @@
 	if err := s.check(); err != nil {
 		return err
 	}
-	if len(s.Classes) < len(w.base) || len(s.Tenants) < len(w.set.Tenants) {
+	if len(s.Classes) < len(w.classes) || len(s.Tenants) < len(w.set.Tenants) {
 		return errors.New("kiteslip: a class or tenant has lost its place")
 	}
 	s.fill()
 	s.JustStarted = w.set.JustStarted
 	same := slices.Equal(w.set.Classes, s.Classes) // as when tenants change: the sums over the classes stand
 	w.set = s
-	for _, c := range s.Classes[len(w.base):] {
-		w.base = append(w.base, float64(c.Aim)/firstGuess)
-		w.baseN, w.wait = append(w.baseN, 0), append(w.wait, 0)
-		w.classes.list = append(w.classes.list, group{})
+	for _, c := range s.Classes[len(w.classes):] {
+		w.classes = append(w.classes, class{base: float64(c.Aim) / firstGuess})
 	}
-	if more := len(s.Tenants) - len(w.tenants.list); more > 0 {
-		w.tenants.list = append(w.tenants.list, make([]group, more)...)
+	if more := len(s.Tenants) - len(w.tenants); more > 0 {
+		w.tenants = append(w.tenants, make([]group, more)...)
 	}
 	if !same {
 		w.weigh()
--- a/worker.go
+++ b/worker.go
@@ -62,9 +62,10 @@
 	memory, largest              float64
 
 	limit, spanDone, spanLate     int
-	base, baseN, wait             []float64 // per class: mean work of a run, runs, time at calls of one
-	progress                      int64     // the last sign of work getting on
-	classes, tenants              groups
+	progress                      int64 // the last sign of work getting on
+	classes                       []class
+	tenants                       []group
+	allClasses, allTenants        group // asked and served of all together, as of this batch
 	fading                        fading
 	weights                       weights // of the classes in the means below
 	gauges                        Gauges
@@ -103,16 +104,14 @@
 		return nil, err
 	}
 	s.fill()
-	n := len(s.Classes)
 	w := &Worker{
 		shared: s.Below == BelowShared && s.CallShare > 0 && s.CallsOver > 0,
 		set:    s, rng: rand.New(rand.NewPCG(seed, 0)), at: map[RequestID]int{}, limit: s.Cores,
-		base: make([]float64, n), baseN: make([]float64, n), wait: make([]float64, n),
-		classes: groups{list: make([]group, n)}, tenants: groups{list: make([]group, max(len(s.Tenants), 1))},
+		classes: make([]class, len(s.Classes)), tenants: make([]group, max(len(s.Tenants), 1)),
 		healthy: true, born: -1, said: -1,
 	}
 	for i, c := range s.Classes {
-		w.base[i] = float64(c.Aim) / firstGuess
+		w.classes[i].base = float64(c.Aim) / firstGuess
 	}
 	w.weigh()
 	w.budget = shareSafe * s.CallShare * float64(s.CallsOver)
