--- a/policy_calls.go
+++ b/policy_calls.go
@@ -114,22 +114,22 @@
 
 // callBelow makes, leaves out or gives up the calls that requests stand at.
 func (w *Worker) callBelow(acts []Action) []Action {
-	w.callsFull, w.waiting = false, w.waiting[:0]
+	w.callsFull, w.places = false, w.places[:0]
 	for i := range w.reqs {
 		if r := &w.reqs[i]; r.phase == atCall && !r.answered {
 			// What the call itself earns; what has most of its calls behind it goes first.
 			unskipped := 1 - w.set.Classes[r.class].SkipWorth
 			r.density = w.gain(r) * w.classes[r.class].base * unskipped * float64(1+r.calls)
-			w.waiting = append(w.waiting, i)
+			w.places = append(w.places, w.place(i))
 		}
 	}
-	slices.SortFunc(w.waiting, w.better)
+	slices.SortFunc(w.places, better)
 	crowd, slow := w.crowd(), w.shared && w.callMean > callSlow*w.callBase
-	for n, i := range w.waiting {
+	for n, p := range w.places {
 		if float64(w.onCore+w.out+1) > crowd {
 			break // what comes back from calls is on the cores at once
 		}
-		r := &w.reqs[i]
+		r := &w.reqs[p.index]
 		c := &w.set.Classes[r.class]
 		left := w.earnUntil(r) - w.now
 		rest := max(w.classes[r.class].base-r.work, w.classes[r.class].base*restShare)
--- a/policy_order.go
+++ b/policy_order.go
@@ -51,18 +51,28 @@
 // better orders two requests: the denser first, then the earlier aim; while the wait is too long the newest:
 // in turn all would be just in time here, too late for those with earlier tries. A pool that can start all it
 // holds in places of its own has no such wait.
-func (w *Worker) better(a, b int) int {
-	x, y := &w.reqs[a], &w.reqs[b]
-	if dense := cmp.Compare(y.density, x.density); dense != 0 || w.pressure <= 1 ||
-		w.ceil != nil && w.uses[w.ceil.Of[x.class]].light {
-		return cmp.Or(dense, cmp.Compare(x.aim, y.aim), cmp.Compare(x.id, y.id))
+func better(x, y place) int {
+	if dense := cmp.Compare(y.density, x.density); dense != 0 {
+		return dense
 	}
-	return cmp.Or(cmp.Compare(y.aim, x.aim), cmp.Compare(x.id, y.id))
+	if aim := cmp.Compare(x.aim, y.aim); aim != 0 && x.newest {
+		return -aim
+	} else if aim != 0 {
+		return aim
+	}
+	return cmp.Compare(x.id, y.id)
+}
+
+// place is what orders request i.
+func (w *Worker) place(i int) place {
+	r := &w.reqs[i]
+	newest := w.pressure > 1 && (w.ceil == nil || !w.uses[w.ceil.Of[r.class]].light)
+	return place{density: r.density, aim: r.aim, id: r.id, index: int32(i), newest: newest}
 }
 
 // shed orders the hold, refuses what cannot be answered in time, and keeps the memory under its top.
 func (w *Worker) shed(acts []Action) []Action {
-	w.order = w.order[:0]
+	w.places = w.places[:0]
 	ahead := 0.0
 	w.must, w.wanting, w.heavy = 0, 0, 0
 	for i := range w.reqs {
@@ -79,7 +89,7 @@
 			if r.late {
 				r.density *= w.set.Classes[r.class].LateWorth
 			}
-			w.order = append(w.order, i)
+			w.places = append(w.places, w.place(i))
 		case running, atCall, calling:
 			b := w.classes[r.class].base
 			if r.phase == atCall && !r.answered && w.set.Classes[r.class].SkipWorth == 0 {
@@ -98,12 +108,12 @@
 			}
 		}
 	}
-	slices.SortFunc(w.order, w.better)
+	slices.SortFunc(w.places, better)
 	cores := float64(w.set.Cores)
 	tail := 0.0
 	kept := w.order[:0]
-	for _, i := range w.order {
-		r := &w.reqs[i]
+	for _, p := range w.places {
+		r := &w.reqs[p.index]
 		b := w.classes[r.class].base
 		begin, hope := 0.0, r.aim
 		if w.onCore >= w.limit || len(kept) > 0 {
@@ -132,7 +142,7 @@
 		if u != nil {
 			u.ahead += b
 		}
-		kept = append(kept, i)
+		kept = append(kept, int(p.index))
 	}
 	w.pressure = max((tail+w.unread)/(holdAim*w.meanAim), w.unread/(unreadAim*w.leastAim))
 	w.order, w.tail = kept, int64(tail)
--- a/policy_test.go
+++ b/policy_test.go
@@ -755,7 +755,7 @@
 		first    RequestID
 	}{{0.5, 3}, {2, 4}} {
 		b.w.pressure = c.pressure
-		if b.w.better(b.w.at[3], b.w.at[4]) < 0 != (c.first == 3) {
+		if better(b.w.place(b.w.at[3]), b.w.place(b.w.at[4])) < 0 != (c.first == 3) {
 			t.Errorf("pressure %v: want %d first", c.pressure, c.first)
 		}
 	}
--- a/worker.go
+++ b/worker.go
@@ -46,17 +46,27 @@
 	from, until int64
 }
 
+// place is what the order of a request hangs on. These are sorted, small and in a row, not the requests.
+type place struct {
+	density float64
+	aim     int64
+	id      RequestID
+	index   int32
+	newest  bool // among equals the newest goes first
+}
+
 // Worker decides for one server process.
 type Worker struct {
-	set            Settings
-	rng            *rand.Rand
-	now, last      int64   // this batch and the previous one
-	share          float64 // the share clock, see advance
-	reqs           []request
-	at             map[RequestID]int
-	fresh          []RequestID // arrivals of this batch
-	order, waiting []int       // the hold and the calls to make, best first
-	table          []entry
+	set       Settings
+	rng       *rand.Rand
+	now, last int64   // this batch and the previous one
+	share     float64 // the share clock, see advance
+	reqs      []request
+	at        map[RequestID]int
+	fresh     []RequestID // arrivals of this batch
+	order     []int       // the hold, best first
+	places    []place     // what is sorted in this batch: the hold, then the calls to make
+	table     []entry
 
 	onCore, inHand, atCalls, out int // running, all begun, standing at calls, calls made
 	memory, largest              float64
