--- a/policy_limit.go
+++ b/policy_limit.go
@@ -31,7 +31,7 @@
 			w.failing += 2 * learn
 		}
 	}
-	if stopped := e.Outcome == Cancelled && r.work > w.base[r.class]; stopped && !wasCopy {
+	if stopped := e.Outcome == Cancelled && r.work > w.classes[r.class].base; stopped && !wasCopy {
 		w.learn(r) // it would have taken longer still: without these, only what is short is learned
 	}
 	if e.Outcome != OK {
@@ -39,13 +39,12 @@
 	}
 	c := &w.set.Classes[r.class]
 	if !r.answered && w.now <= r.aim {
-		w.classes[r.class].served += c.Worth
-		w.tenants[r.tenant].served += c.Worth
+		w.serve(r.class, r.tenant, c.Worth)
 	}
 	if wasCopy {
 		return
 	}
-	late := float64(r.wall) > lateMultiple*w.base[r.class]
+	late := float64(r.wall) > lateMultiple*w.classes[r.class].base
 	w.learn(r)
 	w.spanDone++
 	if late {
@@ -69,26 +68,20 @@
 // learn takes the work of r into the base of its class. One run of many times the usual work moves it no
 // further than one of heavyRun bases.
 func (w *Worker) learn(r *request) {
-	w.baseN[r.class]++
-	weight := max(learn, 1/(w.baseN[r.class]+firstWeight))
-	w.base[r.class] += (min(r.work, heavyRun*w.base[r.class]) - w.base[r.class]) * weight
-	w.wait[r.class] += (float64(r.waits) - w.wait[r.class]) * weight
+	w.classes[r.class].runs++
+	weight := max(learn, 1/(w.classes[r.class].runs+firstWeight))
+	base := w.classes[r.class].base
+	w.rebase(r.class, base+(min(r.work, heavyRun*base)-base)*weight)
+	w.classes[r.class].wait += (float64(r.waits) - w.classes[r.class].wait) * weight
 }
 
 // mix takes the means over the classes, weighed by what is asked for.
 func (w *Worker) mix() {
-	n := 0.0
-	w.meanBase, w.meanAim, w.leastAim = 0, 0, math.Inf(1)
-	for i, c := range w.set.Classes {
-		k := w.classes[i].asked/max(c.Worth, 1e-9) + 1e-6
-		w.meanBase += k * w.base[i]
-		w.meanAim += k * float64(c.Aim)
-		n += k
-		if k > 1e-3 || i == 0 {
-			w.leastAim = min(w.leastAim, float64(c.Aim))
-		}
-	}
-	w.meanBase, w.meanAim, w.leastAim = max(w.meanBase/n, 1), max(w.meanAim/n, 1), max(w.leastAim, 1)
+	m := &w.weights
+	n := m.asked + trifle*float64(len(w.classes))
+	w.meanBase = max((m.askedBase+trifle*(m.bases.high+m.bases.low))/n, 1)
+	w.meanAim = max((m.askedAim+trifle*m.aims)/n, 1)
+	w.leastAim = max(w.shortestAim(), 1)
 }
 
 // crowd is how many begun requests are safe, with the slowest warming that the settings allow.
--- a/policy_order.go
+++ b/policy_order.go
@@ -13,51 +13,66 @@
 	g, in := w.set.Goal, w.inShare(r.tenant)
 	worth := w.set.Classes[r.class].Worth * (in + (1-in)*w.set.OverShareWorth)
 	if !w.set.WorthByWork {
-		worth /= max(w.base[r.class], 1) // else what a longer one costs more, it also earns more
+		worth /= max(w.classes[r.class].base, 1) // else what a longer one costs more, it also earns more
 	}
-	return worth * (g.Whole + g.WorstClass*lag(w.classes, r.class) + g.WorstTenant*lag(w.tenants, r.tenant))
+	class, tenant := w.lag(&w.classes[r.class].group, &w.allClasses), w.lag(&w.tenants[r.tenant], &w.allTenants)
+	return worth * (g.Whole + g.WorstClass*class + g.WorstTenant*tenant)
 }
 
 // inShare is the part of a tenant's arrivals here that lies within its share. A tenant lags by what it is
 // served of that part: counted by all it asks, a flood would pass for the worst served.
+//
+// Where less than one arrival is due here within the memory, the one that is judged is counted already:
+// that is counting noise, and tells nothing of the rate. One is within the share then, only more are beyond.
+// It harms where such a tenant sends all workers one in each span of the memory: that passes for its share.
 func (w *Worker) inShare(tenant int) float64 {
 	if w.set.Stage > 0 || tenant >= len(w.set.Tenants) {
 		return 1
 	}
-	rate := w.tenants[tenant].arrived / (rateOver / 1e6)
-	return min(1, w.set.Tenants[tenant].Quota/float64(w.set.Workers)/max(rate, 1e-9))
+	rate := w.fading.touch(&w.tenants[tenant]).arrived / (rateOver / 1e6)
+	share := w.set.Tenants[tenant].Quota / float64(w.set.Workers)
+	if share > 0 {
+		share = max(share, 1e6/rateOver)
+	}
+	return min(1, share/max(rate, 1e-9))
 }
 
 // lag is the weight of one group's share in the goal, by how far it falls behind all.
-func lag(groups []group, i int) float64 {
-	asked, served := 1e-9, 0.0
-	for _, g := range groups {
-		asked += g.asked
-		served += g.served
-	}
-	g := groups[i]
+func (w *Worker) lag(g, all *group) float64 {
+	w.fading.touch(g)
+	asked := all.asked + 1e-9
 	if g.asked < 1 {
 		return 1
 	}
-	behind := (served/asked - g.served/g.asked) / lagFull
+	behind := (all.served/asked - g.served/g.asked) / lagFull
 	return max(0, min(1, behind)) * asked / g.asked
 }
 
 // better orders two requests: the denser first, then the earlier aim; while the wait is too long the newest:
 // in turn all would be just in time here, too late for those with earlier tries. A pool that can start all it
 // holds in places of its own has no such wait.
-func (w *Worker) better(a, b int) int {
-	x, y := &w.reqs[a], &w.reqs[b]
-	if dense := cmp.Compare(y.density, x.density); dense != 0 || w.pressure <= 1 ||
-		w.ceil != nil && w.uses[w.ceil.Of[x.class]].light {
-		return cmp.Or(dense, cmp.Compare(x.aim, y.aim), cmp.Compare(x.id, y.id))
+func better(x, y place) int {
+	if dense := cmp.Compare(y.density, x.density); dense != 0 {
+		return dense
+	}
+	if aim := cmp.Compare(x.aim, y.aim); aim != 0 && x.newest {
+		return -aim
+	} else if aim != 0 {
+		return aim
 	}
-	return cmp.Or(cmp.Compare(y.aim, x.aim), cmp.Compare(x.id, y.id))
+	return cmp.Compare(x.id, y.id)
+}
+
+// place is what orders request i.
+func (w *Worker) place(i int) place {
+	r := &w.reqs[i]
+	newest := w.pressure > 1 && (w.ceil == nil || !w.uses[w.ceil.Of[r.class]].light)
+	return place{density: r.density, aim: r.aim, id: r.id, index: int32(i), newest: newest}
 }
 
 // shed orders the hold, refuses what cannot be answered in time, and keeps the memory under its top.
 func (w *Worker) shed(acts []Action) []Action {
-	w.order = w.order[:0]
+	w.places = w.places[:0]
 	ahead := 0.0
 	w.must, w.wanting, w.heavy = 0, 0, 0
 	for i := range w.reqs {
@@ -74,9 +89,9 @@
 			if r.late {
 				r.density *= w.set.Classes[r.class].LateWorth
 			}
-			w.order = append(w.order, i)
+			w.places = append(w.places, w.place(i))
 		case running, atCall, calling:
-			b := w.base[r.class]
+			b := w.classes[r.class].base
 			if r.phase == atCall && !r.answered && w.set.Classes[r.class].SkipWorth == 0 {
 				w.must++
 			}
@@ -93,13 +108,13 @@
 			}
 		}
 	}
-	slices.SortFunc(w.order, w.better)
+	slices.SortFunc(w.places, better)
 	cores := float64(w.set.Cores)
 	tail := 0.0
 	kept := w.order[:0]
-	for _, i := range w.order {
-		r := &w.reqs[i]
-		b := w.base[r.class]
+	for _, p := range w.places {
+		r := &w.reqs[p.index]
+		b := w.classes[r.class].base
 		begin, hope := 0.0, r.aim
 		if w.onCore >= w.limit || len(kept) > 0 {
 			hope = r.hope
@@ -110,12 +125,12 @@
 			begin = min(begin, u.ahead/ceil.Cores)
 		}
 		c := &w.set.Classes[r.class]
-		finish := w.now + int64(begin+b*runAllowance+w.wait[r.class])
+		finish := w.now + int64(begin+b*runAllowance+w.classes[r.class].wait)
 		aim := min(hope, w.end(r))
 		if finish > aim && r.phase == held {
 			if c.LateWorth > 0 && finish <= w.end(r) && w.now < r.aim {
 				r.late = true
-			} else if w.baseN[r.class] > 0 && w.inHand > 0 {
+			} else if w.classes[r.class].runs > 0 && w.inHand > 0 {
 				// Guards against tries that walk on: each is read again, at a cost, until readings alone fill the fleet.
 				// What had its chance here stays refused; it hurts where others idle.
 				acts = w.refuse(r, w.away(finish-aim, c), true, acts)
@@ -127,7 +142,7 @@
 		if u != nil {
 			u.ahead += b
 		}
-		kept = append(kept, i)
+		kept = append(kept, int(p.index))
 	}
 	w.pressure = max((tail+w.unread)/(holdAim*w.meanAim), w.unread/(unreadAim*w.leastAim))
 	w.order, w.tail = kept, int64(tail)
--- a/worker.go
+++ b/worker.go
@@ -46,28 +46,38 @@
 	from, until int64
 }
 
-// group is what is known of a class or tenant: rates with a fading memory.
-type group struct{ asked, served, arrived float64 }
+// place is what the order of a request hangs on. These are sorted, small and in a row, not the requests.
+type place struct {
+	density float64
+	aim     int64
+	id      RequestID
+	index   int32
+	newest  bool // among equals the newest goes first
+}
 
 // Worker decides for one server process.
 type Worker struct {
-	set            Settings
-	rng            *rand.Rand
-	now, last      int64   // this batch and the previous one
-	share          float64 // the share clock, see advance
-	reqs           []request
-	at             map[RequestID]int
-	fresh          []RequestID // arrivals of this batch
-	order, waiting []int       // the hold and the calls to make, best first
-	table          []entry
+	set       Settings
+	rng       *rand.Rand
+	now, last int64   // this batch and the previous one
+	share     float64 // the share clock, see advance
+	reqs      []request
+	at        map[RequestID]int
+	fresh     []RequestID // arrivals of this batch
+	order     []int       // the hold, best first
+	places    []place     // what is sorted in this batch: the hold, then the calls to make
+	table     []entry
 
 	onCore, inHand, atCalls, out int // running, all begun, standing at calls, calls made
 	memory, largest              float64
 
 	limit, spanDone, spanLate     int
-	base, baseN, wait             []float64 // per class: mean work of a run, runs, time at calls of one
-	progress                      int64     // the last sign of work getting on
-	classes, tenants              []group
+	progress                      int64 // the last sign of work getting on
+	classes                       []class
+	tenants                       []group
+	allClasses, allTenants        group // asked and served of all together, as of this batch
+	fading                        fading
+	weights                       weights // of the classes in the means below
 	gauges                        Gauges
 	arrivals, failing             float64 // arrivals and the share of failed runs, with a fading memory
 	refused                       float64 // the share of refused arrivals, of late
@@ -98,23 +108,22 @@
 }
 
 // New returns a worker that has just started. It returns an error that names the setting which cannot be
-// used.
+// used. The slices in s are the worker's from then on.
 func New(s Settings, seed uint64) (*Worker, error) {
 	if err := s.check(); err != nil {
 		return nil, err
 	}
 	s.fill()
-	n := len(s.Classes)
 	w := &Worker{
 		shared: s.Below == BelowShared && s.CallShare > 0 && s.CallsOver > 0,
 		set:    s, rng: rand.New(rand.NewPCG(seed, 0)), at: map[RequestID]int{}, limit: s.Cores,
-		base: make([]float64, n), baseN: make([]float64, n), wait: make([]float64, n),
-		classes: make([]group, n), tenants: make([]group, max(len(s.Tenants), 1)),
+		classes: make([]class, len(s.Classes)), tenants: make([]group, max(len(s.Tenants), 1)),
 		healthy: true, born: -1, said: -1,
 	}
 	for i, c := range s.Classes {
-		w.base[i] = float64(c.Aim) / firstGuess
+		w.classes[i].base = float64(c.Aim) / firstGuess
 	}
+	w.weigh()
 	w.budget = shareSafe * s.CallShare * float64(s.CallsOver)
 	w.moveCalls(float64(s.Cores))
 	return w, nil
