--- a/internal/config/calls.go
+++ b/internal/config/calls.go
@@ -35,21 +35,21 @@
 	c.Module.Below, c.Module.CallsOver, c.Module.Lingers = kiteslip.BelowTier, callsOver, lingers
 }
 
-// calls enters what one contract says of calls.
-func (t contract) calls(c *Config, m *kiteslip.Class, key string, errs *problems) {
+// calls enters what one contract says of calls; ledger is where they would go.
+func calls(t *Contract, ledger string, m *kiteslip.Class, add func(name, format string, args ...any)) {
 	if t.Calls != nil {
 		m.Calls = *t.Calls
 	}
-	if m.Calls && c.Ledger == "" {
-		errs.add(key+".calls", "is true, and there is no ledger")
+	if m.Calls && ledger == "" {
+		add("calls", "is true, and there is no ledger")
 	}
 	if t.SkipWorth == nil {
 		return
 	}
 	if !(*t.SkipWorth >= 0) || *t.SkipWorth > 1 {
-		errs.add(key+".skip_worth", "is %v, want 0 to 1", *t.SkipWorth)
+		add("skip_worth", "is %v, want 0 to 1", *t.SkipWorth)
 	} else if *t.SkipWorth > 0 && !m.Calls {
-		errs.add(key+".skip_worth", "is %v, and the class makes no calls", *t.SkipWorth)
+		add("skip_worth", "is %v, and the class makes no calls", *t.SkipWorth)
 	}
 	m.SkipWorth = *t.SkipWorth
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -11,6 +11,7 @@
 	"strconv"
 
 	"kiteslip"
+	"kiteslip/internal/control/document"
 	"kiteslip/internal/ledger"
 	"kiteslip/internal/uwsgi"
 	"kiteslip/internal/wire"
@@ -64,6 +65,7 @@
 	// What a file that came before had and this one has not, see Succeed.
 	ClassesOff, TenantsOff []bool
 
+	Control      Control
 	Keys         Keys
 	Pools        []Pool
 	CheapReserve float64
@@ -72,9 +74,16 @@
 	Backends   []string // by class: the uwsgi server that does the work; "" = the engine
 	MaxResults []int    // by class, bytes
 
-	shape any // the platform's text, decoded: which keys it has
+	shape any   // the platform's text, decoded: which keys it has
+	base  *base // classes and teams of the platform
+
+	version *document.Document // that is in force; nil = the file's own teams, services and pools
 }
 
+// Version is the version of the fleet's document that is in force; nil = none,
+// the file's own teams, services and pools are.
+func (c *Config) Version() *document.Document { return c.version }
+
 // UWSGI is the set-up of the second front.
 type UWSGI struct {
 	Listen     string // "" = off
@@ -263,6 +272,7 @@
 		c.Tenants = append(c.Tenants, tenant.Name)
 	}
 	c.fronts()
+	c.base = c.bare()
 	return nil
 }
 
--- /dev/null
+++ b/internal/config/control.go
@@ -0,0 +1,74 @@
+package config
+
+import (
+	"fmt"
+	"path/filepath"
+)
+
+// ControlFile is [control] of the operator's file.
+type ControlFile struct {
+	Region     string             `toml:"region"`
+	Folder     string             `toml:"folder"`  // an absolute path
+	WaitMS     *int64             `toml:"wait_ms"` // how long a start waits for a publisher
+	Publishers []ControlPublisher `toml:"publisher"`
+}
+
+// Control is [control], checked: whose versions the server serves by. Without a
+// publisher it is off, and the file's own teams and services hold.
+type Control struct {
+	Region     string
+	Folder     string // where the version in force is kept; "" = nowhere
+	Wait       int64  // how long a start waits for a publisher, microseconds
+	Publishers []ControlPublisher
+}
+
+// ControlPublisher is one control machine.
+type ControlPublisher struct {
+	Address string `toml:"address"`
+	Region  string `toml:"region"`
+}
+
+// The default and the bounds of [control].
+const (
+	defaultWaitMS  = 1_000
+	mostWaitMS     = 60_000
+	mostPublishers = 64
+)
+
+// On says whether versions are followed.
+func (c *Control) On() bool { return len(c.Publishers) > 0 }
+
+func (f *ControlFile) apply(c *Config, errs *problems) {
+	if f == nil {
+		return
+	}
+	wait := int64(defaultWaitMS)
+	if f.WaitMS != nil {
+		wait = *f.WaitMS
+	}
+	if wait < 0 || wait > mostWaitMS {
+		errs.add("control.wait_ms", "is %d, want 0 to %d", wait, mostWaitMS)
+	}
+	if f.Folder != "" && !filepath.IsAbs(f.Folder) {
+		errs.add("control.folder", "is %q, want an absolute path", f.Folder)
+	}
+	region := func(key, value string, needed bool) {
+		if needed && value == "" || len(value) > mostName {
+			errs.add(key, "is %q, want 1 to %d bytes", value, mostName)
+		}
+	}
+	region("control.region", f.Region, len(f.Publishers) > 0)
+	if len(f.Publishers) > mostPublishers {
+		errs.add("control.publisher", "is there %d times, want %d at most", len(f.Publishers), mostPublishers)
+	}
+	seen := map[string]bool{}
+	for i, p := range f.Publishers {
+		key := fmt.Sprintf("control.publisher[%d]", i)
+		if checkAddress(errs.add, key+".address", p.Address); seen[p.Address] {
+			errs.add(key+".address", "is %q, want one of its own", p.Address)
+		}
+		seen[p.Address] = true
+		region(key+".region", p.Region, true)
+	}
+	c.Control = Control{Region: f.Region, Folder: f.Folder, Wait: wait * 1000, Publishers: f.Publishers}
+}
--- a/internal/config/keys.go
+++ b/internal/config/keys.go
@@ -1,10 +1,6 @@
 package config
 
-import (
-	"path/filepath"
-
-	"kiteslip"
-)
+import "path/filepath"
 
 // KeysFile is [keys] of the operator's file: keyed results that outlive the process.
 type KeysFile struct {
@@ -58,10 +54,4 @@
 	} else if k.MaxMB < leastKeysMB || k.MaxMB > mostKeysMB {
 		errs.add("keys.max_mb", "is %d, want %d to %d", k.MaxMB, leastKeysMB, mostKeysMB)
 	}
-	for i := range c.Module.Classes {
-		if c.Module.Classes[i].Effect == kiteslip.Keyed {
-			return
-		}
-	}
-	errs.add("keys", "is set up, and no class is keyed")
 }
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -5,25 +5,24 @@
 	"fmt"
 	"net"
 	"os"
-	"strings"
 
 	"github.com/BurntSushi/toml"
 
 	"kiteslip"
 	"kiteslip/internal/control/document"
-	"kiteslip/internal/uwsgi"
 )
 
 // Operator is the operator's file: the second front, and the contracts and
 // budgets of the teams whose services are brokered.
 type Operator struct {
-	UWSGI    Front     `toml:"uwsgi"`
-	Machine  *Machine  `toml:"machine"`
-	Teams    []Team    `toml:"team"`
-	Services []Service `toml:"service"`
-	Pool     []Pool    `toml:"pool"`
-	Pools    Pools     `toml:"pools"`
-	Keys     *KeysFile `toml:"keys"`
+	UWSGI    Front        `toml:"uwsgi"`
+	Machine  *Machine     `toml:"machine"`
+	Teams    []Team       `toml:"team"`
+	Services []Service    `toml:"service"`
+	Pool     []Pool       `toml:"pool"`
+	Pools    Pools        `toml:"pools"`
+	Keys     *KeysFile    `toml:"keys"`
+	Control  *ControlFile `toml:"control"`
 }
 
 // Front sets up the uwsgi front. Without an address it is off.
@@ -61,9 +60,6 @@
 	Contract = document.Contract
 )
 
-// contract is one as it is entered.
-type contract struct{ *Contract }
-
 // The defaults and bounds of the operator's file.
 const (
 	defaultReadMS    = 5_000
@@ -120,16 +116,16 @@
 	if o.UWSGI.Listen == "" && c.Listen == "" {
 		errs.add("uwsgi.listen", "is absent, and no other front is set up")
 	}
-	o.teams(c, &errs)
-	o.services(c, &errs)
-	o.pools(c, &errs)
 	o.Keys.apply(c, &errs)
+	o.Control.apply(c, &errs)
+	c.base = c.bare()
+	c.serve(&document.Content{Teams: o.Teams, Services: o.Services, Pools: o.Pool, CheapReserve: o.Pools.CheapReserve}, &errs)
 	if len(errs) == 0 {
 		if _, err := kiteslip.New(c.Module, 0); err != nil {
 			errs = append(errs, err)
 		}
 	}
-	return c, errors.Join(errs...)
+	return c, errs.join()
 }
 
 type problems []error
@@ -192,165 +188,15 @@
 	return c
 }
 
-// teams enters the budgets: a team that the platform knows gets the budget of the file.
-func (o *Operator) teams(c *Config, errs *problems) {
-	seen := map[string]bool{}
-	for i, t := range o.Teams {
-		key := fmt.Sprintf("team[%d]", i)
-		if t.Name == "" || seen[t.Name] {
-			errs.add(key+".name", "is %q, want a name of its own", t.Name)
-			continue
-		}
-		seen[t.Name] = true
-		if !(t.Quota > 0) {
-			errs.add(key+".requests_per_s", "is %v, want above 0", t.Quota)
-		}
-		at := place(&c.Tenants, t.Name)
-		if at == len(c.Module.Tenants) {
-			c.Module.Tenants = append(c.Module.Tenants, kiteslip.Tenant{})
-		}
-		c.Module.Tenants[at].Quota = t.Quota
-	}
-}
-
-// place returns the place of name in the list, at whose end it is put if it is not there.
-func place(list *[]string, name string) int {
-	for i, s := range *list {
-		if s == name {
-			return i
-		}
-	}
-	*list = append(*list, name)
-	return len(*list) - 1
-}
-
-// services enters the contracts. What a contract leaves open stays as the platform has it.
-func (o *Operator) services(c *Config, errs *problems) {
-	c.fronts()
-	classes, paths, services := map[string]bool{}, map[string]bool{}, map[string]bool{}
-	for i := range o.Services {
-		s := &o.Services[i]
-		key := fmt.Sprintf("service[%d]", i)
-		if s.Name == "" || services[s.Name] {
-			errs.add(key+".name", "is %q, want a name of its own", s.Name)
-		}
-		services[s.Name] = true
-		if s.Owner != "" && !contains(c.Tenants, s.Owner) {
-			errs.add(key+".owner", "is %q, which is no team", s.Owner)
-		}
-		if s.Backend != "" {
-			checkAddress(errs.add, key+".backend", s.Backend)
-		} else if c.Engine == "" {
-			errs.add(key+".backend", "is absent, and there is no engine")
-		}
-		if len(s.Contracts) == 0 {
-			errs.add(key+".contract", "is absent")
-		}
-		for j := range s.Contracts {
-			t := &s.Contracts[j]
-			key := fmt.Sprintf("%s.contract[%d]", key, j)
-			if t.Class == "" || classes[t.Class] || len(t.Class) > mostName {
-				errs.add(key+".class", "is %q, want a name of its own of at most %d bytes", t.Class, mostName)
-				continue
-			}
-			classes[t.Class] = true
-			if t.Path != "" && (paths[t.Path] || !strings.HasPrefix(t.Path, "/")) {
-				errs.add(key+".path", "is %q, want one of its own that starts with /", t.Path)
-			}
-			paths[t.Path] = true
-			contract{t}.apply(c, s.Backend, key, errs)
-		}
-	}
-	if len(c.Module.Classes) == 0 {
-		errs.add("service", "is absent, and there are no other classes")
-	}
-}
-
-func contains(list []string, name string) bool {
-	for _, s := range list {
-		if s == name {
-			return true
-		}
-	}
-	return false
-}
-
-// fronts makes room for what the fronts must know of each class.
-func (c *Config) fronts() {
-	for i := len(c.UWSGI.Contracts); i < len(c.Module.Classes); i++ {
-		m := &c.Module.Classes[i]
-		c.UWSGI.Contracts = append(c.UWSGI.Contracts, uwsgi.Contract{Keyed: m.Effect == kiteslip.Keyed,
-			Deadline: m.Limit, MaxBody: defaultBody, HeldKB: defaultHeldKB})
-		c.Backends = append(c.Backends, "")
-		c.MaxResults = append(c.MaxResults, defaultResult)
-	}
-}
-
-func (t contract) apply(c *Config, backend, key string, errs *problems) {
-	at := place(&c.Classes, t.Class)
-	known := at < len(c.Module.Classes)
-	if !known {
-		c.Module.Classes = append(c.Module.Classes, kiteslip.Class{Worth: 1})
-		c.fronts()
-	}
-	m := &c.Module.Classes[at]
-	if effect, ok := effects[t.Effect]; ok {
-		m.Effect = effect
-	} else if t.Effect != "" || !known {
-		errs.add(key+".effect", "is %q, want repeatable, keyed or once", t.Effect)
-	}
-	figure := func(name string, value *float64, most, unit float64, set func(float64)) {
-		switch {
-		case value == nil:
-		case !(*value >= 0) || *value > most:
-			errs.add(key+"."+name, "is %v, want 0 to %v", *value, most)
-		default:
-			set(*value * unit)
-		}
-	}
-	figure("aim_ms", t.AimMS, hourMS, 1000, func(v float64) { m.Aim = int64(v) })
-	figure("deadline_ms", t.DeadlineMS, hourMS, 1000, func(v float64) { m.Limit = int64(v) })
-	figure("window_ms", t.WindowMS, hourMS, 1000, func(v float64) { m.Window = int64(v) })
-	figure("worth", t.Worth, 1e6, 1, func(v float64) { m.Worth = v })
-	figure("late_worth", t.LateWorth, 1, 1, func(v float64) { m.LateWorth = v })
-	t.calls(c, m, key, errs)
-	if m.Limit == 0 {
-		errs.add(key+".deadline_ms", "is absent")
-	}
-	if m.Aim == 0 {
-		m.Aim = m.Limit
-	}
-	if m.Aim > m.Limit {
-		errs.add(key+".aim_ms", "is past the deadline")
-	}
-	if m.Effect == kiteslip.Keyed && m.Window < m.Limit {
-		errs.add(key+".window_ms", "is shorter than the deadline: a later try would run again")
-	}
-	if t.MaxBody == 0 {
-		t.MaxBody = defaultBody
-	}
-	if t.MaxResult == 0 {
-		t.MaxResult = defaultResult
-	}
-	if t.MaxBody < 0 || t.MaxBody > mostBody {
-		errs.add(key+".max_body", "is %d, want 0 to %d bytes", t.MaxBody, mostBody)
-	}
-	if t.MaxResult < 0 || t.MaxResult > mostBody {
-		errs.add(key+".max_result", "is %d, want 0 to %d bytes", t.MaxResult, mostBody)
-	}
-	if t.HeldKB == 0 {
-		t.HeldKB = defaultHeldKB
-	}
-	if !(t.HeldKB > 0) || t.HeldKB*1024 < float64(t.MaxBody) {
-		errs.add(key+".held_kb", "is %v, want room for max_body at least", t.HeldKB)
-	}
-	c.UWSGI.Contracts[at] = uwsgi.Contract{Keyed: m.Effect == kiteslip.Keyed, Deadline: m.Limit,
-		MaxBody: t.MaxBody, HeldKB: t.HeldKB, Path: t.Path}
-	c.Backends[at], c.MaxResults[at] = backend, t.MaxResult
-}
+func (p problems) join() error { return errors.Join(p...) }
 
 func checkAddress(add func(key, format string, args ...any), key, value string) {
-	if _, _, err := net.SplitHostPort(value); err != nil {
+	if !isAddress(value) {
 		add(key, "is %q, want host:port", value)
 	}
 }
+
+func isAddress(value string) bool {
+	_, _, err := net.SplitHostPort(value)
+	return err == nil
+}
--- a/internal/config/places.go
+++ b/internal/config/places.go
@@ -1,60 +1,249 @@
 package config
 
 import (
-	"errors"
+	"fmt"
+	"reflect"
+	"slices"
 
+	"kiteslip"
 	"kiteslip/internal/control/document"
+	"kiteslip/internal/pool"
 )
 
-// Control is [control] of the operator's file: whose versions the server serves
-// by. Without a publisher it is off, and the file's own teams and services hold.
-type Control struct {
-	Region     string
-	Folder     string // where the version in force is kept; "" = nowhere
-	Wait       int64  // how long a start waits for a publisher, microseconds
-	Publishers []ControlPublisher
-}
+// The bounds of the classes, and of the teams, that one process has a place for,
+// those included that are no longer in force: some kilobytes for each class, some
+// hundred bytes for each team.
+const (
+	mostClassPlaces = document.MostRoutes
+	mostTeamPlaces  = document.MostTeams
+)
 
-// ControlPublisher is one control machine.
-type ControlPublisher struct {
-	Address string `toml:"address"`
-	Region  string `toml:"region"`
-}
+// lingersMore is how long, in microseconds, the place of a dropped team stays its
+// own beyond twice the longest deadline: its last request has long ended then.
+const lingersMore = 60_000_000
 
 // Change is a configuration that is checked and ready to be taken over between
 // two batches of the loop, with what differs from the one in force, so that
 // taking it over costs by that.
 type Change struct {
 	Config  *Config
-	Classes []int    // places whose class is new, changed or dropped
-	Tenants []int    // places whose team is
-	Kept    []string // keys whose change needs a restart
-	Whole   bool     // more than classes and teams may differ: it comes from a file
+	Pools   *pool.Settings // as Config has them; nil = none
+	Classes []int          // places whose class is new, changed or dropped
+	Tenants []int          // places whose team is
+	Kept    []string       // keys whose change needs a restart
+	Whole   bool           // more than classes and teams may differ: it comes from a file
+	Passed  bool           // the file's own teams, services and pools are passed over: a version is in force
+
+	index func() // brings what Places knows of the version in force up to this one; nil = find it anew
 }
 
 // Places makes Changes, beside the loop: which place each class and team has, by
 // name. It belongs to one goroutine. A Change follows the configuration that was
 // handed to NewPlaces or, later, to Adopted.
-type Places struct{ cfg *Config }
+//
+// A class keeps its place for as long as the process lives: keys and runs hang on
+// it. The place of a dropped team is free for another one when nothing of the old
+// one can be open any more, by the time that At tells.
+type Places struct {
+	cfg *Config
+	now int64 // microseconds; 0 = not told yet
+
+	classes map[promise]int // dropped ones included
+	teams   map[string]int  // dropped ones included, until their place is taken
+	free    map[int]int64   // by place of a dropped team: when another may have it; 0 = to be set by At
+	dropped []drop          // in the order in which they get free; stale where free says otherwise
+
+	routes *routes // of the version in force; nil = to be found
+}
+
+// drop is a place of a dropped team.
+type drop struct {
+	at  int
+	due int64 // when another team may have it; 0 = the time is not told yet
+}
+
+// promise is what a class is known by: one whose effect differs is another.
+type promise struct {
+	name   string
+	effect kiteslip.Effect
+}
 
 // NewPlaces returns the places of the configuration in force.
-func NewPlaces(c *Config) *Places { return &Places{cfg: c} }
+func NewPlaces(c *Config) *Places {
+	p := &Places{cfg: c, classes: make(map[promise]int, len(c.Classes)), teams: indexOf(c.Tenants), free: map[int]int64{}}
+	for i, name := range c.Classes {
+		p.classes[promise{name, c.Module.Classes[i].Effect}] = i
+	}
+	for i := range c.Tenants {
+		if Off(c.TenantsOff, i) {
+			p.free[i], p.dropped = 0, append(p.dropped, drop{at: i})
+		}
+	}
+	return p
+}
+
+// At tells the time, in microseconds, which only advances. It is told before a
+// change is made and before it is adopted; where it is never told no place gets free.
+func (p *Places) At(now int64) {
+	first := p.now == 0 && now > 0
+	if p.now = max(p.now, now); !first {
+		return
+	}
+	due := p.now + openFor(p.cfg)
+	for i := range p.dropped {
+		p.dropped[i].due, p.free[p.dropped[i].at] = due, due
+	}
+}
 
-// File lays a file that was read anew over the configuration in force. It costs by all.
+// openFor is how long after it is dropped a team may have something open, and more.
+func openFor(c *Config) int64 {
+	longest := int64(0)
+	for i := range c.Module.Classes {
+		longest = max(longest, c.Module.Classes[i].Limit)
+	}
+	return 2*longest + lingersMore
+}
+
+// File lays a file that was read anew over the configuration in force. It costs by
+// all. What only a restart can change stays and is listed in Kept. While a version
+// is in force the machine's part of the file holds, and the version's teams,
+// services and pools stay. An error says that the file is not to be used.
 func (p *Places) File(next *Config) (*Change, error) {
-	merged, kept, err := p.cfg.Succeed(next)
-	if err != nil {
-		return nil, err
+	c := p.cfg
+	var errs problems
+	lacks(&errs, "", c.shape, next.shape)
+	m := *next
+	passed := c.version != nil
+	if passed {
+		content := c.version.Content()
+		served, err := next.served(&content)
+		if err != nil {
+			errs = append(errs, fmt.Errorf("with version %d, which is in force: %w", c.version.Header().Number, err))
+			return nil, errs.join()
+		}
+		m, m.version = *served, c.version
 	}
-	return &Change{Config: merged, Kept: kept, Whole: true}, nil
+	var kept []string
+	keep := func(key string, differs bool) {
+		if differs {
+			kept = append(kept, key)
+		}
+	}
+	keep("name", next.Name != c.Name)
+	keep("listen", next.Listen != c.Listen || next.UWSGI.Listen != c.UWSGI.Listen)
+	keep("ops", next.Ops != c.Ops)
+	keep("limits", next.Limits != c.Limits)
+	keep("keys", next.Keys != c.Keys)
+	keep("control", !reflect.DeepEqual(next.Control, c.Control))
+	m.Keys, m.Control = c.Keys, c.Control
+	m.Name, m.Listen, m.Ops, m.Limits, m.Seed, m.InheritedFD = c.Name, c.Listen, c.Ops, c.Limits, c.Seed, c.InheritedFD
+	m.UWSGI.Listen = c.UWSGI.Listen
+	ch := p.lay(&m, &errs)
+	if len(errs) > 0 {
+		return nil, errs.join()
+	}
+	ch.Kept, ch.Whole, ch.Passed = kept, true, passed
+	return ch, nil
 }
 
 // Version lays a version of the fleet's document over it: the machine's part
-// stays. With a delta it costs by that (and by copies of flat lists); without one
-// by all. The outcome is that of a file with the same content.
+// stays. With a delta on the version in force it costs by that (and by copies of
+// flat lists); without one by all. The outcome is that of a file with the same
+// content. An error names all faults, and says that the version cannot be used here.
 func (p *Places) Version(doc *document.Document, delta *document.Delta) (*Change, error) {
-	return nil, errors.New("config: not built yet")
+	if ch := p.step(doc, delta); ch != nil {
+		return ch, nil
+	}
+	content := doc.Content()
+	m, err := p.cfg.served(&content)
+	if err != nil {
+		return nil, err
+	}
+	m.version = doc
+	var errs problems
+	ch := p.lay(m, &errs)
+	if len(errs) > 0 {
+		return nil, errs.join()
+	}
+	return ch, nil
+}
+
+// lay gives what next has the places of what is in force, lists what differs, and
+// enters what was dropped. next is the outcome.
+func (p *Places) lay(next *Config, errs *problems) *Change {
+	d := p.draft(next)
+	names, tenants := next.Classes, next.Tenants
+	routes := make([]route, len(names))
+	for i := range names {
+		routes[i] = next.route(i)
+	}
+	budgets := next.Module.Tenants
+	d.copyClasses()
+	d.copyTeams()
+	on := make([]bool, len(p.cfg.Classes)+len(names))
+	for i, name := range names {
+		on[d.setClass(name, &routes[i])] = true
+	}
+	for i := range p.cfg.Classes {
+		if !on[i] {
+			d.dropClass(i)
+		}
+	}
+	on = make([]bool, len(p.cfg.Tenants)+len(tenants))
+	for i, name := range tenants {
+		on[d.setTeam(name, budgets[i].Quota)] = true
+	}
+	for i := range p.cfg.Tenants {
+		if !on[i] {
+			d.dropTeam(i)
+		}
+	}
+	d.bounds(errs)
+	return d.change()
 }
 
 // Adopted notes that a Change is in force.
-func (p *Places) Adopted(ch *Change) { p.cfg = ch.Config }
+func (p *Places) Adopted(ch *Change) {
+	was, next := p.cfg, ch.Config
+	for _, i := range ch.Classes {
+		p.classes[promise{next.Classes[i], next.Module.Classes[i].Effect}] = i
+	}
+	due := int64(0)
+	for _, i := range ch.Tenants {
+		if i < len(was.Tenants) && was.Tenants[i] != next.Tenants[i] && p.teams[was.Tenants[i]] == i {
+			delete(p.teams, was.Tenants[i])
+		}
+		p.teams[next.Tenants[i]] = i
+		switch off, wasOff := Off(next.TenantsOff, i), i < len(was.Tenants) && Off(was.TenantsOff, i); {
+		case !off:
+			delete(p.free, i)
+		case !wasOff:
+			if due == 0 && p.now != 0 {
+				due = p.now + max(openFor(was), openFor(next))
+			}
+			p.free[i], p.dropped = due, append(p.dropped, drop{i, due})
+		}
+	}
+	p.tidy()
+	if ch.index != nil {
+		ch.index()
+	} else {
+		p.routes = nil
+	}
+	p.cfg = next
+}
+
+// tidy takes stale entries out of the list of dropped places, once they are many:
+// a team that comes and goes is in it each time.
+func (p *Places) tidy() {
+	if len(p.dropped) < 2*len(p.free)+64 {
+		return
+	}
+	p.dropped = slices.DeleteFunc(p.dropped, func(d drop) bool { return p.stale(d) })
+}
+
+// stale says whether a team came back to its place, or another one has it.
+func (p *Places) stale(d drop) bool {
+	due, still := p.free[d.at]
+	return !still || due != d.due
+}
--- /dev/null
+++ b/internal/config/places_test.go
@@ -0,0 +1,365 @@
+package config
+
+import (
+	"bytes"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/BurntSushi/toml"
+	"pgregory.net/rapid"
+
+	"kiteslip"
+	"kiteslip/internal/control/document"
+)
+
+// after is the version that comes after d with this content; nil = it holds that
+// already, or no such version is accepted anywhere.
+func after(t interface{ Fatal(...any) }, d *document.Document, c *document.Content) (*document.Document, *document.Delta) {
+	changes := d.Diff(c)
+	if len(changes) == 0 {
+		return nil, nil
+	}
+	delta, err := d.Draft(changes, document.Meta{Author: "a", Reason: "r", Time: 1})
+	if err != nil {
+		return nil, nil
+	}
+	next, err := d.Apply(delta)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return next, delta
+}
+
+// anyContent draws what a fleet may serve by; one in three may have faults that
+// only a machine sees.
+func anyContent(t *rapid.T) *document.Content {
+	faulty := rapid.IntRange(0, 2).Draw(t, "faulty") == 0
+	figure := func(key string, of ...float64) *float64 {
+		if faulty && rapid.IntRange(0, 3).Draw(t, key+" is open") == 0 {
+			return nil
+		}
+		return &[]float64{rapid.SampledFrom(of).Draw(t, key)}[0]
+	}
+	c := &document.Content{}
+	for _, name := range []string{"red", "blue", "green", "teal"} {
+		if rapid.Bool().Draw(t, name) {
+			c.Teams = append(c.Teams, Team{Name: name, Quota: float64(rapid.IntRange(1, 3).Draw(t, "quota"))})
+		}
+	}
+	classes := rapid.Permutation([]string{"look", "note", "draw", "send", "find", "sum"}).Draw(t, "classes")
+	paths := []string{"/a", "/b", "/a/c", "/d", "/e", "/f"}
+	for i, name := range []string{"maps", "post", "till"} {
+		s := Service{Name: name}
+		if rapid.IntRange(0, 9).Draw(t, name) == 0 {
+			continue
+		}
+		s.Backend = rapid.SampledFrom([]string{"127.0.0.1:3032", "127.0.0.1:3033", ""}).Draw(t, "backend")
+		if faulty {
+			s.Owner = rapid.SampledFrom([]string{"", "red", "blue", "green"}).Draw(t, "owner")
+		} else if len(c.Teams) > 0 && rapid.Bool().Draw(t, "owned") {
+			s.Owner = rapid.SampledFrom(c.Teams).Draw(t, "owner").Name
+		}
+		if !faulty && s.Backend == "" {
+			s.Backend = "127.0.0.1:3034"
+		}
+		for j := range rapid.IntRange(1, 2).Draw(t, "contracts") {
+			k := Contract{Class: classes[2*i+j], Effect: rapid.SampledFrom([]string{"repeatable", "keyed", "once"}).Draw(t, "effect"),
+				AimMS: figure("aim", 100, 300), DeadlineMS: figure("deadline", 300, 500, 900), WindowMS: figure("window", 900, 1500),
+				Worth: figure("worth", 1, 2), LateWorth: figure("late", 0, 0.5), MaxBody: rapid.SampledFrom([]int{0, 0, 4096, 20_000}).Draw(t, "body"),
+				HeldKB: rapid.SampledFrom([]float64{0, 32}).Draw(t, "held"), MaxResult: rapid.SampledFrom([]int{0, 100}).Draw(t, "result")}
+			if rapid.Bool().Draw(t, "path") {
+				k.Path = paths[2*i+j]
+			}
+			if faulty {
+				k.Effect = rapid.SampledFrom([]string{"repeatable", "keyed", ""}).Draw(t, "any effect")
+				if rapid.IntRange(0, 9).Draw(t, "calls") == 0 {
+					yes := true
+					k.Calls = &yes
+				}
+			} else if k.MaxBody > 16<<10 {
+				k.HeldKB = 32
+			}
+			s.Contracts = append(s.Contracts, k)
+		}
+		c.Services = append(c.Services, s)
+	}
+	named := classes
+	if !faulty {
+		named = nil
+		for _, s := range c.Services {
+			for _, k := range s.Contracts {
+				named = append(named, k.Class)
+			}
+		}
+	}
+	if rapid.IntRange(0, 2).Draw(t, "pools") == 0 && len(named) > 1 {
+		c.Pools = append(c.Pools, Pool{Name: "p", Share: 0.4, Classes: rapid.SliceOfNDistinct(rapid.SampledFrom(named), 1, 2, rapid.ID[string]).Draw(t, "p")})
+	}
+	if (faulty || len(c.Pools) > 0) && rapid.IntRange(0, 2).Draw(t, "reserve") == 0 {
+		c.CheapReserve = 0.1
+	}
+	return c
+}
+
+// inForce is what c serves by, by name: places play no part.
+func inForce(c *Config) string {
+	var lines []string
+	for i, name := range c.Classes {
+		if !Off(c.ClassesOff, i) {
+			lines = append(lines, fmt.Sprintf("class %s %+v", name, c.route(i)))
+		} else if c.UWSGI.Contracts[i].Path != "" {
+			lines = append(lines, "a path leads to a class that is off")
+		}
+	}
+	for i, name := range c.Tenants {
+		if !Off(c.TenantsOff, i) {
+			lines = append(lines, fmt.Sprintf("team %s %+v", name, c.Module.Tenants[i]))
+		}
+	}
+	if s := c.PoolSettings(); s != nil {
+		for _, p := range s.Pools {
+			names := []string{}
+			for _, at := range p.Classes {
+				names = append(names, c.Classes[at])
+			}
+			slices.Sort(names)
+			p.Classes = nil
+			lines = append(lines, fmt.Sprintf("pool %+v %v reserve %v", p, names, s.CheapReserve))
+		}
+	}
+	slices.Sort(lines)
+	m := c.Module
+	m.Classes, m.Tenants = nil, nil
+	return strings.Join(lines, "\n") + fmt.Sprintf("\nmodule %+v, keys %+v, engine %s", m, c.Keys, c.Engine)
+}
+
+// checkChange says whether a change lists all that differs from what was in force,
+// and the lists agree.
+func checkChange(t *rapid.T, was *Config, ch *Change) {
+	c := ch.Config
+	n := len(c.Classes)
+	if len(c.Module.Classes) != n || len(c.UWSGI.Contracts) != n || len(c.Backends) != n || len(c.MaxResults) != n ||
+		len(c.Module.Tenants) != len(c.Tenants) {
+		t.Fatalf("lists of unlike length: %+v", c)
+	}
+	if _, err := kiteslip.New(c.Module, 0); err != nil {
+		t.Fatal(err)
+	}
+	for i := range c.Classes {
+		differs := i >= len(was.Classes) || c.route(i) != was.route(i) || Off(c.ClassesOff, i) != Off(was.ClassesOff, i)
+		if i < len(was.Classes) && (c.Classes[i] != was.Classes[i] || c.Module.Classes[i].Effect != was.Module.Classes[i].Effect) {
+			t.Fatalf("class %d is another one", i)
+		}
+		if differs != slices.Contains(ch.Classes, i) {
+			t.Fatalf("class %d differs: %v, and %v are listed", i, differs, ch.Classes)
+		}
+	}
+	for i := range c.Tenants {
+		differs := i >= len(was.Tenants) || c.Tenants[i] != was.Tenants[i] || c.Module.Tenants[i] != was.Module.Tenants[i] ||
+			Off(c.TenantsOff, i) != Off(was.TenantsOff, i)
+		if differs != slices.Contains(ch.Tenants, i) {
+			t.Fatalf("team %d differs: %v, and %v are listed", i, differs, ch.Tenants)
+		}
+	}
+}
+
+// What a version makes of the configuration in force is what a file with the same
+// content makes of it, faults included, whether it comes as a delta or whole.
+func TestVersionIsAsFile(t *testing.T) {
+	steps, taken := 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		head, alone := "", rapid.Bool().Draw(t, "alone")
+		if alone {
+			head = "[uwsgi]\nlisten = \"127.0.0.1:3031\"\n[machine]\ncores = 2\n"
+		}
+		if rapid.IntRange(0, 3).Draw(t, "keys") == 0 {
+			head += "[keys]\nfolder = \"/k\"\n"
+		}
+		read := func(c *document.Content) (*Config, error) {
+			var words bytes.Buffer
+			if err := toml.NewEncoder(&words).Encode(Operator{Teams: c.Teams, Services: c.Services, Pool: c.Pools, Pools: Pools{CheapReserve: c.CheapReserve}}); err != nil {
+				t.Fatal(err)
+			}
+			text := strings.ReplaceAll(strings.ReplaceAll(words.String(), "[uwsgi]\n  listen = \"\"\n  read_ms = 0\n", ""), "  ", "")
+			if alone {
+				return ParseOperator(text+head, nil)
+			}
+			return ParseOperator(text+head, parse(t, platform))
+		}
+		first := &document.Content{Services: []Service{{Name: "own", Backend: "127.0.0.1:9", Contracts: []Contract{
+			{Class: "own", Effect: "keyed", DeadlineMS: &[]float64{100}[0], WindowMS: &[]float64{100}[0]}}}}}
+		cfg, err := read(first)
+		if err != nil {
+			t.Fatal(err)
+		}
+		asFile, asDelta, asWhole := NewPlaces(cfg), NewPlaces(cfg), NewPlaces(cfg)
+		doc, now := document.Empty(), int64(1)
+		for range rapid.IntRange(1, 5).Draw(t, "versions") {
+			content := anyContent(t)
+			next, delta := after(t, doc, content)
+			if next == nil {
+				continue
+			}
+			doc = next
+			now += int64(rapid.IntRange(0, 70_000_000).Draw(t, "time"))
+			for _, p := range []*Places{asFile, asDelta, asWhole} {
+				p.At(now)
+			}
+			var byFile *Change
+			sorted := doc.Content()
+			file, fileErr := read(&sorted)
+			if fileErr == nil {
+				byFile, fileErr = asFile.File(file)
+			}
+			byDelta, deltaErr := asDelta.Version(doc, delta)
+			byWhole, wholeErr := asWhole.Version(doc, nil)
+			if fmt.Sprint(fileErr) != fmt.Sprint(deltaErr) || fmt.Sprint(fileErr) != fmt.Sprint(wholeErr) {
+				t.Fatalf("as a file %v\nas a delta %v\nwhole %v", fileErr, deltaErr, wholeErr)
+			}
+			if fileErr != nil {
+				continue // the version before stays, and the next delta is on another one
+			}
+			steps++
+			if byDelta.index != nil {
+				taken++
+			}
+			checkChange(t, asFile.cfg, byFile)
+			checkChange(t, asDelta.cfg, byDelta)
+			checkChange(t, asWhole.cfg, byWhole)
+			if a, b, c := inForce(byFile.Config), inForce(byDelta.Config), inForce(byWhole.Config); a != b || a != c {
+				t.Fatalf("as a file\n%s\nas a delta\n%s\nwhole\n%s", a, b, c)
+			}
+			if byDelta.Config.Version() != doc || byWhole.Config.Version() != doc || byFile.Config.Version() != nil {
+				t.Fatal("another version is said to be in force")
+			}
+			asFile.Adopted(byFile)
+			asDelta.Adopted(byDelta)
+			asWhole.Adopted(byWhole)
+		}
+	})
+	if 4*taken < steps {
+		t.Errorf("of %d versions only %d were taken at the cost of their delta", steps, taken)
+	}
+	t.Logf("%d of %d versions at the cost of their delta", taken, steps)
+}
+
+// Names of teams may come and go for years: a place is given to another team once
+// nothing of the old one can be open any more, and not before.
+func TestDroppedTeamsMakeRoom(t *testing.T) {
+	classes := [][2]string{{"first", "repeatable"}} // its deadline is 4 s
+	const wait = 2*4_000_000 + lingersMore
+	p := NewPlaces(parse(t, file(classes, []string{"stays", "goes"})))
+	take := func(teams ...string) *Config {
+		t.Helper()
+		ch, err := p.File(parse(t, file(classes, teams)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		p.Adopted(ch)
+		return ch.Config
+	}
+	p.At(1_000_000)
+	take("stays")
+	p.At(1_000_000 + wait - 1)
+	if c := take("stays", "early"); len(c.Tenants) != 3 || c.Tenants[2] != "early" || !Off(c.TenantsOff, 1) {
+		t.Fatalf("a place was taken too early: %v", c.Tenants)
+	}
+	p.At(1_000_000 + wait)
+	if c := take("stays", "early", "late"); len(c.Tenants) != 3 || c.Tenants[1] != "late" || Off(c.TenantsOff, 1) || c.Module.Tenants[1].Quota != 3 {
+		t.Fatalf("the place is not taken: %v", c.Tenants)
+	}
+	if c := take("stays", "early", "late", "goes"); len(c.Tenants) != 4 || c.Tenants[3] != "goes" {
+		t.Fatalf("a team that returns after its place was taken: %v", c.Tenants)
+	}
+	if c := take("stays", "late", "goes"); !Off(c.TenantsOff, 2) {
+		t.Fatalf("%v", c.TenantsOff)
+	}
+	if c := take("stays", "early", "late", "goes"); Off(c.TenantsOff, 2) || len(c.Tenants) != 4 {
+		t.Fatalf("a team that returns to its place: %v", c.Tenants)
+	}
+	now := p.now
+	for i := range 5_000 { // one that comes and goes, and one new name each time
+		now += wait / 3
+		p.At(now)
+		teams := []string{"stays", fmt.Sprint("new", i)}
+		if i%2 == 0 {
+			teams = append(teams, "flips")
+		}
+		if c := take(teams...); len(c.Tenants) > 20 || len(p.teams) > 20 || len(p.free) > 20 || len(p.dropped) > 110 {
+			t.Fatalf("file %d: %d places, %d names, %d and %d dropped", i, len(c.Tenants), len(p.teams), len(p.free), len(p.dropped))
+		}
+	}
+}
+
+// While a version is in force the machine's part of a file holds, and the
+// version's teams and services stay.
+func TestFileUnderVersion(t *testing.T) {
+	cfg, err := ParseOperator(machine+operator, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := NewPlaces(cfg)
+	doc, _ := after(t, document.Empty(), &document.Content{Teams: []Team{{Name: "teal", Quota: 7}}, Services: []Service{{Name: "s", Owner: "teal",
+		Backend: "127.0.0.1:4000", Contracts: []Contract{{Class: "sum", Path: "/sum", Effect: "once", DeadlineMS: &[]float64{700}[0]}}}}})
+	ch, err := p.Version(doc, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.Adopted(ch)
+	was := inForce(ch.Config)
+	if !strings.Contains(was, "class sum") || strings.Contains(was, "class draw") || !strings.Contains(was, "team teal {Quota:7}") {
+		t.Fatalf("in force\n%s", was)
+	}
+	next, err := ParseOperator(strings.Replace(machine, "cores = 2", "cores = 3\nstop_ms = 5000", 1)+strings.Replace(operator, "requests_per_s = 20", "requests_per_s = 21", 1), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ch, err = p.File(next)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !ch.Passed || !ch.Whole || ch.Config.Version() != doc || ch.Config.Module.Cores != 3 || ch.Config.Stop != 5_000_000 || len(ch.Classes)+len(ch.Tenants) != 0 {
+		t.Errorf("%+v", ch)
+	}
+	if is := inForce(ch.Config); strings.Replace(was, "Cores:2", "Cores:3", 1) != is {
+		t.Errorf("was\n%s\nis\n%s", was, is)
+	}
+	p.Adopted(ch)
+	worse, err := ParseOperator(strings.Replace(machine, "cores", "key_kb", 1)+"[keys]\nfolder = \"/k\"\n"+operator, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := p.File(worse); err == nil || !strings.Contains(err.Error(), "version 1") || !strings.Contains(err.Error(), "no class is keyed") {
+		t.Errorf("a file that cannot bear the version in force: %v", err)
+	}
+}
+
+// [control] is off without a publisher; its faults are named by key, all at once.
+func TestControl(t *testing.T) {
+	const control = "[control]\nregion = \"south\"\nfolder = \"/var/versions\"\n[[control.publisher]]\naddress = \"10.0.0.1:7000\"\nregion = \"south\"\n" +
+		"[[control.publisher]]\naddress = \"10.0.0.2:7000\"\nregion = \"north\"\n"
+	c, err := ParseOperator(machine+operator+control, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if k := c.Control; !k.On() || k.Region != "south" || k.Folder != "/var/versions" || k.Wait != 1_000_000 || len(k.Publishers) != 2 ||
+		k.Publishers[1] != (ControlPublisher{Address: "10.0.0.2:7000", Region: "north"}) {
+		t.Errorf("%+v", c.Control)
+	}
+	for _, text := range []string{"", "[control]\nregion = \"south\"\nwait_ms = 0\n"} {
+		if c, err := ParseOperator(machine+operator+text, nil); err != nil || c.Control.On() {
+			t.Errorf("%q: %+v %v", text, c.Control, err)
+		}
+	}
+	faulty := strings.NewReplacer("\"/var", "\"var", "region = \"south\"\nfolder", "wait_ms = 70000\nfolder", "10.0.0.1:7000", "nowhere",
+		"region = \"north\"", "zone = \"north\"").Replace(control)
+	_, err = ParseOperator(machine+operator+faulty+"[[control.publisher]]\naddress = \"10.0.0.2:7000\"\nregion = \"x\"\n", nil)
+	for _, key := range []string{"control.folder", "control.wait_ms", "control.region", "control.publisher[0].address", "control.publisher[1].region",
+		"control.publisher.zone", "control.publisher[2].address"} {
+		if err == nil || !strings.Contains(err.Error(), key+" ") {
+			t.Errorf("%s is not named: %v", key, err)
+		}
+	}
+}
--- a/internal/config/pools.go
+++ b/internal/config/pools.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 
 	"kiteslip/internal/control/document"
 	"kiteslip/internal/pool"
@@ -17,12 +16,18 @@
 }
 
 // pools enters the pools, which name classes of the platform or of a service.
-func (o *Operator) pools(c *Config, errs *problems) {
-	c.Pools, c.CheapReserve = o.Pool, o.Pools.CheapReserve
+func (c *Config) pools(pools []Pool, reserve float64, errs *problems) {
+	c.Pools, c.CheapReserve = pools, reserve
+	places := indexOf(c.Classes)
+	c.checkPools(func(class string) bool { _, known := places[class]; return known }, errs)
+}
+
+// checkPools names what is wrong with the pools; is says whether there is a class.
+func (c *Config) checkPools(is func(class string) bool, errs *problems) {
 	taken := map[string]string{}
-	for i, p := range o.Pool {
+	for i, p := range c.Pools {
 		for _, class := range p.Classes {
-			if !contains(c.Classes, class) {
+			if !is(class) {
 				errs.add(fmt.Sprintf("pool[%d].classes", i), "has %q, which is no class", class)
 			}
 			if other, twice := taken[class]; twice {
@@ -31,8 +36,8 @@
 			taken[class] = p.Name
 		}
 	}
-	if len(o.Pool) == 0 && o.Pools.CheapReserve != 0 {
-		errs.add("pools.cheap_reserve", "is %v, and there is no [[pool]]", o.Pools.CheapReserve)
+	if len(c.Pools) == 0 && c.CheapReserve != 0 {
+		errs.add("pools.cheap_reserve", "is %v, and there is no [[pool]]", c.CheapReserve)
 	}
 	if s := c.PoolSettings(); s != nil && len(*errs) == 0 {
 		if err := s.Check(); err != nil {
@@ -49,15 +54,22 @@
 	}
 	s := pool.For(&c.Module)
 	s.CheapReserve = c.CheapReserve
-	for _, p := range c.Pools {
+	pools := map[string][]int{} // by class: those that name it, one where all is well
+	for i, p := range c.Pools {
+		for _, class := range p.Classes {
+			pools[class] = append(pools[class], i)
+		}
 		spec := pool.Spec{Name: p.Name, Share: p.Share, Most: p.Most, Reserve: p.Reserve, Memory: p.Memory,
 			MemoryMost: p.MemoryMost, Waiting: p.Waiting}
-		for i, class := range c.Classes {
-			if !Off(c.ClassesOff, i) && slices.Contains(p.Classes, class) {
-				spec.Classes = append(spec.Classes, i)
-			}
-		}
 		s.Pools = append(s.Pools, spec)
 	}
+	for i, class := range c.Classes {
+		if Off(c.ClassesOff, i) {
+			continue
+		}
+		for _, at := range pools[class] {
+			s.Pools[at].Classes = append(s.Pools[at].Classes, i)
+		}
+	}
 	return s
 }
--- a/internal/server/calls_test.go
+++ b/internal/server/calls_test.go
@@ -321,7 +321,9 @@
 	c.Send(1, untold("note", "a", 1), "1000*1 a")
 	<-came
 	cfg := k.config(t, next.Address)
-	k.look(func() { k.adopt(cfg) })
+	if !k.hupFrom(t, func() (*config.Config, error) { return cfg, nil }) {
+		t.Fatal("a good configuration is turned down")
+	}
 	c.Send(2, untold("note", "b", 2), "1000*1 b")
 	if got, _ := c.Next(); got.Stream != 2 || got.Code != served {
 		t.Errorf("%+v", got)
--- a/internal/server/reload.go
+++ b/internal/server/reload.go
@@ -1,6 +1,8 @@
 package server
 
 import (
+	"context"
+	"errors"
 	"os"
 	"slices"
 
@@ -8,18 +10,37 @@
 
 	"kiteslip"
 	"kiteslip/internal/config"
+	"kiteslip/internal/control/document"
 	"kiteslip/internal/frame"
 	"kiteslip/internal/registry"
 	"kiteslip/internal/uwsgi"
 )
 
-// reloads takes in SIGHUP, beside the loop and beside the notice to leave: a file
-// that is slow to read holds back neither.
+// asked is a version that is to be taken over.
+type asked struct {
+	doc     *document.Document
+	delta   *document.Delta // the step from the version in force; nil = it came whole
+	verdict chan error
+}
+
+var (
+	errLeaving = errors.New("server: the notice to leave has come, no version is taken over any more")
+	errEnded   = errors.New("server: the run has ended")
+)
+
+// reloads takes in SIGHUP and versions, one after the other, beside the loop and
+// beside the notice to leave: a file that is slow to read holds back neither. All
+// that costs by the whole configuration is done here; the loop gets a ready change,
+// and no other is made before its verdict is known, so that each follows the one
+// in force.
 func (s *Server) reloads(signals <-chan os.Signal) {
+	places := config.NewPlaces(s.cfg) // until the first change nothing else writes it
 	for {
 		select {
 		case <-signals:
-			s.reload()
+			s.reload(places)
+		case v := <-s.versions:
+			v.verdict <- s.version(places, v)
 		case <-s.life.Done():
 			return
 		}
@@ -29,58 +50,136 @@
 // reload reads the configuration anew and takes over what can change while
 // the server runs. Guards against a file that is half written or faulty: it is
 // read and checked as a whole first, and the one in use stays if it fails.
-func (s *Server) reload() {
+func (s *Server) reload(places *config.Places) {
 	if s.Reload == nil {
 		s.log.Warn("nothing to reload from")
 		return
 	}
 	next, err := s.Reload()
+	var ch *config.Change
+	if err == nil {
+		places.At(now())
+		ch, err = places.File(next)
+	}
 	if err != nil {
 		s.onLoop(func() { s.turnDown(err) })
 		return
 	}
-	s.onLoop(func() { s.adopt(next) })
+	s.put(places, ch) //nolint:errcheck // the loop has logged and counted it
 }
 
-// adopt lays a checked configuration over the one in use, and changes nothing
-// unless all of it can be used. What is part of how the process was set up
-// (names, addresses, limits) needs a restart.
-func (s *Server) adopt(next *config.Config) {
-	was := s.cfg
-	merged, kept, err := was.Succeed(next)
+// takeVersion takes over a version of what the fleet serves by, and returns when
+// it is in force or refused: then the error says why, and the one before is in
+// force. delta is the step from the version in force; nil = it came whole. It is
+// for goroutines beside the loop.
+func (s *Server) takeVersion(ctx context.Context, doc *document.Document, delta *document.Delta) error {
+	v := asked{doc, delta, make(chan error, 1)}
+	select {
+	case s.versions <- v:
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-s.life.Done():
+		return errEnded
+	}
+	select {
+	case err := <-v.verdict: // it is near, and whoever asks is to know it
+		return err
+	case <-s.life.Done():
+		return errEnded
+	}
+}
+
+func (s *Server) version(places *config.Places, v asked) error {
+	h := v.doc.Header()
+	places.At(now())
+	ch, err := places.Version(v.doc, v.delta)
 	if err == nil {
-		err = s.core.Retune(merged.Module, merged.ClassesOff, merged.PoolSettings())
+		err = s.put(places, ch)
 	}
 	if err != nil {
-		s.turnDown(err)
-		return
+		s.log.Error("the version is not used", zap.Uint64("version", h.Number), zap.Stringer("digest", v.doc.Digest()), zap.Error(err))
 	}
-	for _, key := range kept {
+	return err
+}
+
+// put has the loop take over a change, and waits for its verdict.
+func (s *Server) put(places *config.Places, ch *config.Change) error {
+	verdict := make(chan error, 1)
+	s.onLoop(func() { verdict <- s.adopt(ch) })
+	select {
+	case err := <-verdict:
+		if err == nil {
+			places.At(now())
+			places.Adopted(ch)
+		}
+		return err
+	case <-s.life.Done():
+		return errEnded
+	}
+}
+
+// adopt takes over a checked change between two batches, and changes nothing
+// unless all of it can be used. It costs by what has changed. What is part of how
+// the process was set up (names, addresses, limits) needs a restart.
+func (s *Server) adopt(ch *config.Change) error {
+	was, next := s.cfg, ch.Config
+	err := error(nil)
+	if !ch.Whole && s.stopAt != 0 {
+		err = errLeaving
+	} else {
+		err = s.core.Retune(next.Module, next.ClassesOff, ch.Pools)
+	}
+	if err != nil {
+		if ch.Whole {
+			s.turnDown(err)
+		}
+		return err
+	}
+	s.cfg = next
+	s.name(ch.Classes, ch.Tenants)
+	if len(ch.Classes) > 0 {
+		s.recall()
+		if s.calls == 0 && uses(next.Backends) {
+			s.log.Warn("backends need descriptors set aside at the start; until a restart their classes fail")
+		}
+	}
+	if ch.Whole {
+		s.machine(ch, was)
+	} else {
+		h := next.Version().Header()
+		s.log.Info("version in force", zap.Uint64("version", h.Number), zap.Stringer("digest", next.Version().Digest()),
+			zap.String("author", h.Author), zap.String("reason", h.Reason), zap.Int("classes", len(ch.Classes)), zap.Int("teams", len(ch.Tenants)))
+	}
+	s.reportAt = 0
+	s.schedule()
+	return nil
+}
+
+// machine takes over what a file says beside classes and teams.
+func (s *Server) machine(ch *config.Change, was *config.Config) {
+	next := ch.Config
+	for _, key := range ch.Kept {
 		s.log.Warn("a change that needs a restart is not taken over", zap.String("key", key))
 	}
-	if s.stopAt != 0 {
-		merged.Stop = was.Stop
+	if ch.Passed {
+		s.log.Warn("the file's own teams, services and pools are passed over: a version is in force",
+			zap.Uint64("version", next.Version().Header().Number))
 	}
-	s.cfg = merged
-	s.name()
-	s.recall()
-	if s.calls == 0 && uses(merged.Backends) {
-		s.log.Warn("backends need descriptors set aside at the start; until a restart their classes fail")
+	if s.stopAt != 0 {
+		next.Stop = was.Stop
 	}
-	if merged.Engine != was.Engine {
+	if next.Engine != was.Engine {
 		s.reach() // the link in use is kept until the new one stands
 	}
-	if merged.Ledger != was.Ledger {
+	if next.Ledger != was.Ledger {
 		s.openLedger()
 	}
-	if merged.Registry != was.Registry {
+	if next.Registry != was.Registry {
 		s.reregister()
 	}
 	s.applied++
-	s.log.Info("configuration reloaded", zap.String("engine", merged.Engine), zap.String("registry", merged.Registry),
-		zap.Int("classes", len(next.Classes)))
-	s.reportAt = 0
-	s.schedule()
+	s.log.Info("configuration reloaded", zap.String("engine", next.Engine), zap.String("registry", next.Registry),
+		zap.Int("classes", len(ch.Classes)), zap.Int("teams", len(ch.Tenants)))
 }
 
 // turnDown notes a configuration that is not used.
@@ -89,31 +188,57 @@
 	s.log.Error("the new configuration is not used", zap.Error(err))
 }
 
-// name tells the fronts and the engine's link which classes and teams there are.
-func (s *Server) name() {
-	cfg := s.cfg
-	s.names = &frame.Names{Classes: map[string]int{}, Tenants: map[string]int{}}
+// nameAll tells the fronts and the engine's link which classes and teams there
+// are at the start.
+func (s *Server) nameAll() {
+	s.names = &frame.Names{Classes: make(map[string]int, len(s.cfg.Classes)), Tenants: make(map[string]int, len(s.cfg.Tenants))}
 	s.keyed = map[string]int{}
-	safe := make([]bool, len(cfg.Classes))
-	for i, class := range cfg.Classes {
-		effect := cfg.Module.Classes[i].Effect
-		// One that is no longer in the file is still known by its name: it is refused, not an error.
-		if _, known := s.names.Classes[class]; !known || !config.Off(cfg.ClassesOff, i) {
-			s.names.Classes[class] = i
+	s.book = &uwsgi.Book{Classes: s.names.Classes, Tenants: s.names.Tenants}
+	all := func(n int) []int {
+		places := make([]int, n)
+		for i := range places {
+			places[i] = i
 		}
+		return places
+	}
+	s.name(all(len(s.cfg.Classes)), all(len(s.cfg.Tenants)))
+}
+
+// name tells them what has changed at these places.
+func (s *Server) name(classes, tenants []int) {
+	cfg, names := s.cfg, s.names
+	for _, on := range []bool{false, true} { // of two classes with one name the one in force counts
+		for _, i := range classes {
+			if config.Off(cfg.ClassesOff, i) == on {
+				continue
+			}
+			// One that is no longer in force is still known by its name: it is refused, not an error.
+			if _, known := names.Classes[cfg.Classes[i]]; !known || on {
+				names.Classes[cfg.Classes[i]] = i
+			}
+		}
+	}
+	for i := len(names.Keyed); i < len(cfg.Classes); i++ {
+		effect := cfg.Module.Classes[i].Effect
+		names.Keyed = append(names.Keyed, effect == kiteslip.Keyed)
+		s.safe = append(s.safe, effect == kiteslip.Repeatable)
 		if effect == kiteslip.Keyed {
-			s.keyed[class] = i
+			s.keyed[cfg.Classes[i]] = i
+		}
+	}
+	for _, i := range tenants {
+		if was := s.tenants; i < len(was) && names.Tenants[was[i]] == i {
+			delete(names.Tenants, was[i]) // it is dropped, or another one has its place
 		}
-		s.names.Keyed = append(s.names.Keyed, effect == kiteslip.Keyed)
-		safe[i] = effect == kiteslip.Repeatable
 	}
-	for i, tenant := range cfg.Tenants {
+	for _, i := range tenants {
 		if !config.Off(cfg.TenantsOff, i) {
-			s.names.Tenants[tenant] = i
+			names.Tenants[cfg.Tenants[i]] = i
 		}
 	}
-	s.book = &uwsgi.Book{Classes: s.names.Classes, Tenants: s.names.Tenants, Contracts: cfg.UWSGI.Contracts}
-	s.link.Classes(cfg.Classes, safe)
+	s.tenants = cfg.Tenants
+	s.book.Contracts = cfg.UWSGI.Contracts
+	s.link.Classes(cfg.Classes, s.safe)
 }
 
 // reregister sends the reports to the registry that holds now. It is reached
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -62,13 +62,16 @@
 	goneAt   int64        // when it was last logged that the link is gone
 
 	// Reload reads the configuration anew, for SIGHUP; nil = what was read at the start stays.
-	Reload func() (*config.Config, error)
-	names  *frame.Names
-	keyed  map[string]int // keyed classes, those included that are no longer in the file
-	client *gnet.Client
-	loop   gnet.EventLoop
-	up     chan struct{} // closed when the loop runs
-	done   chan error    // the end of the run
+	Reload   func() (*config.Config, error)
+	names    *frame.Names
+	keyed    map[string]int // keyed classes, those included that are no longer in force
+	safe     []bool         // by class: whether a run may be repeated
+	tenants  []string       // that names knows of, by place
+	versions chan asked     // to be taken over, see reloads
+	client   *gnet.Client
+	loop     gnet.EventLoop
+	up       chan struct{} // closed when the loop runs
+	done     chan error    // the end of the run
 
 	listeners []front
 	slots     chan struct{} // one for each connection that may be open
@@ -130,7 +133,7 @@
 	s := &Server{
 		cfg: cfg, log: log, up: make(chan struct{}), done: make(chan error, 1),
 		sessions: map[handler]struct{}{}, checks: map[string]check{},
-		backends: map[*backendConn]struct{}{},
+		backends: map[*backendConn]struct{}{}, versions: make(chan asked),
 	}
 	s.life, s.end = context.WithCancel(context.Background())
 	p := PlacesOf(cfg)
@@ -139,7 +142,7 @@
 	s.slots, s.adminSlots = make(chan struct{}, p.Callers), make(chan struct{}, p.Admin)
 	s.descriptors = semaphore.NewWeighted(int64(p.Descriptors))
 	s.link = engine.NewLink(s, now)
-	s.name()
+	s.nameAll()
 	var err error
 	s.core, err = core.New(core.Settings{
 		Module: cfg.Module, Seed: cfg.Seed, Pools: cfg.PoolSettings(),
