--- a/cmd/kitelab/main.go
+++ b/cmd/kitelab/main.go
@@ -23,6 +23,7 @@
 	Keys     keysCmd     `cmd:"" help:"Keyed results over kills, losses of power and restarts."`
 	Calls    callsCmd    `cmd:"" help:"Calls below under faults, and what a call costs, against the real program."`
 	Shutdown shutdownCmd `cmd:"" help:"Many processes that restart together while callers send, against the real program."`
+	Slopes   slopesCmd   `cmd:"" help:"How the figures of one server grow with tenants, routes, callers and changes."`
 	Door     doorCmd     `cmd:"" help:"A thousand connections that ask from the start, against the real program."`
 }
 
--- /dev/null
+++ b/internal/lab/scale/slopes/site.go
@@ -0,0 +1,92 @@
+package slopes
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+
+	"kiteslip"
+)
+
+// site is what an operator's file is made of: so many teams and routes, and the
+// machine that it describes where it describes one.
+type site struct {
+	teams, routes int
+	changed       int    // teams after the first whose budget is another one
+	listen, ops   string // "" = no such front
+	engine        string
+	cores         int
+	sockets       int
+}
+
+// serviceRoutes is how many contracts a service has: 2,800 routes of 150 services.
+const serviceRoutes = 19
+
+// text is the operator's file.
+func (s site) text() string {
+	var b strings.Builder
+	b.Grow(200 * (s.teams + s.routes))
+	fmt.Fprintf(&b, "[machine]\nname = \"scale\"\nlisten = %q\nops = %q\nengine = %q\ncores = %d\nwork_mb = 4096\nstop_ms = 1500\n"+
+		"[machine.limits]\ncores = 1.0\nmemory_mb = 256\nsockets = %d\n", s.listen, s.ops, s.engine, s.cores, s.sockets)
+	for i := range s.teams {
+		fmt.Fprintf(&b, "[[team]]\nname = %q\nrequests_per_s = %g\n", teamName(i), s.quota(i))
+	}
+	for i := range s.routes {
+		if i%serviceRoutes == 0 {
+			fmt.Fprintf(&b, "[[service]]\nname = \"service-%03d\"\nowner = %q\n", i/serviceRoutes, teamName(i/serviceRoutes%s.teams))
+		}
+		fmt.Fprintf(&b, "[[service.contract]]\nclass = %q\neffect = \"repeatable\"\naim_ms = 1400\ndeadline_ms = 4200\nworth = %d\n", className(i), 1+i%3)
+	}
+	return b.String()
+}
+
+// teamName starts with red, as whom probe.Fields sends. The others are made of
+// syllables drawn at random: a row of numbers would be compressed to nothing.
+func teamName(i int) string {
+	if i == 0 {
+		return "red"
+	}
+	rng := rand.New(rand.NewPCG(21, uint64(i)))
+	name := make([]byte, 0, 12)
+	for range 6 {
+		name = append(name, "bcdfghjklmnprstv"[rng.IntN(16)], "aeiou"[rng.IntN(5)])
+	}
+	return string(name)
+}
+
+// teamQuota is unlike from team to team; the first one's is never short.
+func teamQuota(i int) float64 {
+	if i == 0 {
+		return 1e6
+	}
+	return 0.5 + float64(i*i%997)/10
+}
+
+// quota is the team's, as changed.
+func (s site) quota(i int) float64 {
+	if i > 0 && i <= s.changed {
+		return teamQuota(i) + 0.25
+	}
+	return teamQuota(i)
+}
+
+func className(i int) string { return fmt.Sprintf("route-%04d", i) }
+
+// settings are the module's for such a site, as the operator's file makes them,
+// with deadlines so long that nothing is turned away or given up: until a class
+// has finished, the module expects an eighth of its aim as its work, and with
+// thousands of classes most have not.
+func (s site) settings() kiteslip.Settings {
+	m := kiteslip.Settings{Cores: max(1, s.cores), MemoryKB: 1e9, RunFactor: 4, KeyKB: 8, MaxRetryAfter: 1_000_000, OverShareWorth: 0.05,
+		Goal: kiteslip.Goal{Whole: 0.5, WorstClass: 0.2, WorstTenant: 0.1, WorstWindow: 0.2},
+		Tick: 4_000, DrainGrace: 2_000_000, AnswerSlack: 60_000, WorthByWork: true, Workers: 470, Callers: 4200}
+	for i := range s.teams {
+		m.Tenants = append(m.Tenants, kiteslip.Tenant{Quota: teamQuota(i)})
+	}
+	for i := range s.routes {
+		m.Classes = append(m.Classes, kiteslip.Class{Effect: kiteslip.Repeatable, Aim: hour / 30, Limit: hour, LateWorth: 1, Worth: float64(1 + i%3)})
+	}
+	return m
+}
+
+const hour = 3_600_000_000 // microseconds
--- /dev/null
+++ b/internal/lab/scale/target/target.go
@@ -0,0 +1,156 @@
+// Package target reads the operators' target, scenarios/target-fleet.toml: the
+// sizes that the system is to carry, what it promises at them, and what is
+// assumed where nobody was told.
+package target
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/BurntSushi/toml"
+)
+
+// Fleet is what there is.
+type Fleet struct {
+	Servers         int     `toml:"servers"`
+	Callers         int     `toml:"callers"`
+	Services        int     `toml:"services"`
+	RequestsPerS    float64 `toml:"requests_per_s"` // at the peak
+	Routes          int     `toml:"routes"`
+	Tenants         int     `toml:"tenants"`
+	Regions         int     `toml:"regions"`
+	Zones           int     `toml:"zones"`
+	ControlMachines int     `toml:"control_machines"`
+	Descriptors     int     `toml:"descriptors"` // of a server, for callers
+}
+
+// Promise is what the fleet's users are told.
+type Promise struct {
+	AddedP99MS     float64 `toml:"added_p99_ms"`
+	ChangesPerDay  float64 `toml:"changes_per_day"`
+	InForceWithinS float64 `toml:"in_force_within_s"`
+}
+
+// Control is what one server may spend on control.
+type Control struct {
+	CorePercent float64 `toml:"core_percent"`
+	MemoryMB    float64 `toml:"memory_mb"`
+	KBPerS      float64 `toml:"kb_per_s"`
+}
+
+// Faults are what goes wrong as a matter of course.
+type Faults struct {
+	MachinesPerDay float64 `toml:"machines_per_day"`
+	RestartsPerDay float64 `toml:"restarts_per_day"`
+	RacksPerYear   float64 `toml:"racks_per_year"`
+	ZonesPerYear   float64 `toml:"zones_per_year"`
+	CutsPerYear    float64 `toml:"cuts_per_year"`
+	CutMinutes     float64 `toml:"cut_minutes"`
+}
+
+// Assumed is what nobody was told.
+type Assumed struct {
+	HotServerPerS  float64 `toml:"hot_server_per_s"`
+	OrdinaryPart   float64 `toml:"ordinary_part"`
+	Held           int     `toml:"held"`
+	HeldMost       int     `toml:"held_most"`
+	KeyedPart      float64 `toml:"keyed_part"`
+	KeyWindowS     float64 `toml:"key_window_s"`
+	BodyBytes      int     `toml:"body_bytes"`
+	RestS          float64 `toml:"rest_s"`
+	ServerCores    float64 `toml:"server_cores"`
+	ServerMemoryMB float64 `toml:"server_memory_mb"`
+}
+
+// Target is the whole file.
+type Target struct {
+	Fleet   Fleet   `toml:"fleet"`
+	Promise Promise `toml:"promise"`
+	Control Control `toml:"control"`
+	Faults  Faults  `toml:"faults"`
+	Assumed Assumed `toml:"assumed"`
+}
+
+// Load reads the file; an error names all faulty keys.
+func Load(path string) (*Target, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("target: %w", err)
+	}
+	t, err := Parse(string(text))
+	if err != nil {
+		return nil, fmt.Errorf("target: %s: %w", path, err)
+	}
+	return t, nil
+}
+
+// Parse is Load on a text.
+func Parse(text string) (*Target, error) {
+	t := &Target{}
+	meta, err := toml.Decode(text, t)
+	if err != nil {
+		return nil, err
+	}
+	var errs []error
+	for _, key := range meta.Undecoded() {
+		errs = append(errs, fmt.Errorf("%s is not known", key))
+	}
+	for _, k := range t.keys() {
+		if !(k.value > 0) || k.most > 0 && k.value > k.most {
+			errs = append(errs, fmt.Errorf("%s is %v, want above 0%s", k.name, k.value, k.bound()))
+		}
+	}
+	if err = errors.Join(errs...); err != nil {
+		return nil, err
+	}
+	if t.Fleet.Zones < t.Fleet.Regions {
+		return nil, fmt.Errorf("fleet.zones is %d, want one for each of %d regions at least", t.Fleet.Zones, t.Fleet.Regions)
+	}
+	if t.Assumed.HeldMost < t.Assumed.Held {
+		return nil, fmt.Errorf("assumed.held_most is %d, want assumed.held, %d, at least", t.Assumed.HeldMost, t.Assumed.Held)
+	}
+	return t, nil
+}
+
+type key struct {
+	name        string
+	value, most float64 // most: 0 = no bound
+}
+
+func (k key) bound() string {
+	if k.most > 0 {
+		return fmt.Sprintf(", at most %v", k.most)
+	}
+	return ""
+}
+
+func (t *Target) keys() []key {
+	f, p, c, g, a := &t.Fleet, &t.Promise, &t.Control, &t.Faults, &t.Assumed
+	return []key{
+		{"fleet.servers", float64(f.Servers), 0}, {"fleet.callers", float64(f.Callers), 0}, {"fleet.services", float64(f.Services), 0},
+		{"fleet.requests_per_s", f.RequestsPerS, 0}, {"fleet.routes", float64(f.Routes), 0}, {"fleet.tenants", float64(f.Tenants), 0},
+		{"fleet.regions", float64(f.Regions), 0}, {"fleet.zones", float64(f.Zones), 0},
+		{"fleet.control_machines", float64(f.ControlMachines), 0}, {"fleet.descriptors", float64(f.Descriptors), 0},
+		{"promise.added_p99_ms", p.AddedP99MS, 0}, {"promise.changes_per_day", p.ChangesPerDay, 0}, {"promise.in_force_within_s", p.InForceWithinS, 0},
+		{"control.core_percent", c.CorePercent, 100}, {"control.memory_mb", c.MemoryMB, 0}, {"control.kb_per_s", c.KBPerS, 0},
+		{"faults.machines_per_day", g.MachinesPerDay, 0}, {"faults.restarts_per_day", g.RestartsPerDay, 0},
+		{"faults.racks_per_year", g.RacksPerYear, 0}, {"faults.zones_per_year", g.ZonesPerYear, 0},
+		{"faults.cuts_per_year", g.CutsPerYear, 0}, {"faults.cut_minutes", g.CutMinutes, 0},
+		{"assumed.hot_server_per_s", a.HotServerPerS, 0}, {"assumed.ordinary_part", a.OrdinaryPart, 1},
+		{"assumed.held", float64(a.Held), 0}, {"assumed.held_most", float64(a.HeldMost), 0},
+		{"assumed.keyed_part", a.KeyedPart, 1}, {"assumed.key_window_s", a.KeyWindowS, 3600}, {"assumed.body_bytes", float64(a.BodyBytes), 2048},
+		{"assumed.rest_s", a.RestS, 0}, {"assumed.server_cores", a.ServerCores, 0}, {"assumed.server_memory_mb", a.ServerMemoryMB, 0},
+	}
+}
+
+// PerServer is a server's mean part of the peak, requests a second.
+func (t *Target) PerServer() float64 { return t.Fleet.RequestsPerS / float64(t.Fleet.Servers) }
+
+// ZoneLost is how much more each server carries with a zone gone.
+func (t *Target) ZoneLost() float64 {
+	if t.Fleet.Zones < 2 {
+		return 1
+	}
+	return float64(t.Fleet.Zones) / float64(t.Fleet.Zones-1)
+}
