--- a/internal/lab/scale/slope/slope_test.go
+++ b/internal/lab/scale/slope/slope_test.go
@@ -50,6 +50,21 @@
 	}
 }
 
+func TestAPointOfNothingDoesNotDecideTheFit(t *testing.T) {
+	s := figures.Slope{Name: "zero", Points: points(func(x float64) float64 { return x - 3 }, 3, 30, 300, 3000, 21000)}
+	s.Points[1].Value *= 1.1
+	if err := Fit(&s); err != nil {
+		t.Fatal(err)
+	}
+	if s.Miss > 0.15 || s.Residual > 1 {
+		t.Errorf("miss %v, residual %v: the point of zero has decided", s.Miss, s.Residual)
+	}
+	none := figures.Slope{Name: "none", Points: points(func(float64) float64 { return 0 }, 3, 30, 300)}
+	if err := Fit(&none); err != nil || none.Miss != 0 || none.Knee != "" {
+		t.Errorf("a figure that is zero throughout: %+v, %v", none, err)
+	}
+}
+
 func TestWhatGivesNoLineIsAnError(t *testing.T) {
 	nan := math.NaN()
 	for want, s := range map[string]figures.Slope{
--- a/internal/lab/scale/slopes/memory.go
+++ b/internal/lab/scale/slopes/memory.go
@@ -61,7 +61,7 @@
 
 // memory measures what lives on the heap by each size.
 func (m *measurement) memory() error {
-	rounds := m.rounds(3)
+	rounds := m.rounds(2) // what lives is counted: it hardly differs
 	keep := func(name, role, of, by string, target float64, sizes []float64, f func(size float64) (float64, error)) error {
 		points, err := slope.Measure(sizes, rounds, slope.Median, f)
 		if err != nil {
