A tenant's share here stands beside its counts, worked out where its quota changes

Each request of one among 21,000 tenants read its counts and its quota on two cold cache lines. Both are one record of 64 bytes now. Retune works out the shares of quotas that changed, of all where a list was changed in place or the workers changed; a test changes settings in place, and the comparison with the plain form moves the workers too.

--- a/groups.go
+++ b/groups.go
@@ -28,6 +28,14 @@
 	rank             int     // of its aim in byAim, see weights
 }
 
+// tenant is what is known of a tenant, and its quota divided by the workers, in requests a second. It fills a
+// cache line, for that of one of thousands lies cold.
+type tenant struct {
+	group
+	share float64
+	_     [3]float64
+}
+
 // fading is the clock of what fades: this batch, the one before, and what is left since.
 type fading struct {
 	now, before int64
@@ -108,14 +116,14 @@
 
 // askTenant books that worth x is asked for by a tenant.
 func (w *Worker) askTenant(tenant int, x float64) {
-	w.fading.touch(&w.tenants[tenant]).asked += x
+	w.fading.touch(&w.tenants[tenant].group).asked += x
 	w.allTenants.asked += x
 }
 
 // serve books worth x that was served on time.
 func (w *Worker) serve(class, tenant int, x float64) {
 	w.fading.touch(&w.classes[class].group).served += x
-	w.fading.touch(&w.tenants[tenant]).served += x
+	w.fading.touch(&w.tenants[tenant].group).served += x
 	w.allClasses.served += x
 	w.allTenants.served += x
 }
@@ -153,6 +161,18 @@
 	return shortest
 }
 
+// allot works out what is due here of each quota that is another than before, or of all where that can't be
+// told.
+func (w *Worker) allot(before []Tenant, workers int) {
+	now := w.set.Tenants
+	all := workers != w.set.Workers || len(before) > 0 && &before[0] == &now[0]
+	for i := range now {
+		if all || i >= len(before) || before[i] != now[i] {
+			w.tenants[i].share = now[i].Quota / float64(w.set.Workers)
+		}
+	}
+}
+
 // weigh adds the weights of all classes up anew, for new settings. It takes time for each class.
 func (w *Worker) weigh() {
 	m, classes := &w.weights, w.set.Classes
--- a/groups_test.go
+++ b/groups_test.go
@@ -87,7 +87,7 @@
 
 func tenantGroups(w *Worker) (list []*group) {
 	for i := range w.tenants {
-		list = append(list, &w.tenants[i])
+		list = append(list, &w.tenants[i].group)
 	}
 	return list
 }
@@ -125,7 +125,7 @@
 	t.Helper()
 	c := *w
 	c.classes = append([]class(nil), w.classes...)
-	c.tenants = append([]group(nil), w.tenants...)
+	c.tenants = append([]tenant(nil), w.tenants...)
 	base, aim, least := plainMeans(&c)
 	classes, tenants := plainTotal(&c, classGroups(&c)), plainTotal(&c, tenantGroups(&c))
 	for _, v := range []struct {
@@ -256,9 +256,16 @@
 			}
 			if batch%500 == 499 {
 				regroup(rng, &s, len(s.Tenants)+rng.IntN(30), min(60, len(s.Classes)+rng.IntN(2)))
+				s.Workers += rng.IntN(2)
 				if err := kept.Retune(s); err != nil {
 					t.Fatal(err)
 				}
+				for i := range s.Tenants {
+					if kept.tenants[i].share != s.Tenants[i].Quota/float64(s.Workers) {
+						t.Fatalf("%s: tenant %d has a share of %v with %v over %d workers", m.name, i, kept.tenants[i].share,
+							s.Tenants[i].Quota, s.Workers)
+					}
+				}
 				plain.Retune(s)
 			}
 		}
@@ -536,9 +543,29 @@
 	for range 2000 {
 		quota, arrived := 470*(0.25+math.Exp(8*rng.Float64()-2)), 60*rng.Float64()
 		b.w.set.Tenants[1].Quota = quota
-		b.w.fading.touch(&b.w.tenants[1]).arrived = arrived
+		b.w.allot(nil, 0)
+		b.w.fading.touch(&b.w.tenants[1].group).arrived = arrived
 		if got, want := b.w.inShare(1), min(1, quota/470/max(arrived/4, 1e-9)); got != want {
 			t.Fatalf("quota %v, %v arrived: share %v, want %v", quota, arrived, got, want)
 		}
 	}
 }
+
+// Settings that were changed in place and handed in again are taken over too.
+func TestRetuneWithSettingsChangedInPlace(t *testing.T) {
+	s := settings()
+	s.Tenants = []Tenant{{Quota: 8}, {Quota: 80}}
+	w, err := New(s, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.Step(1000, []Event{arrival(1, 0), arrival(2, 1)}, nil)
+	s.Tenants[1].Quota, s.Classes[1].Aim, s.Classes[0].Worth = 4, 500_000, 7
+	if err := w.Retune(s); err != nil {
+		t.Fatal(err)
+	}
+	w.Step(2000, nil, nil)
+	if wantSums(t, w, "in place"); w.tenants[1].share != 1 || w.tenants[0].share != 2 || w.leastAim != 500_000 {
+		t.Errorf("shares %v and %v, least aim %v", w.tenants[0].share, w.tenants[1].share, w.leastAim)
+	}
+}
--- a/policy.go
+++ b/policy.go
@@ -172,7 +172,7 @@
 	w.unread += (float64(e.Waited) - w.unread) * 2 * learn
 	w.largest = max(w.largest, r.size)
 	if !e.Again {
-		w.fading.touch(&w.tenants[r.tenant]).arrived++
+		w.fading.touch(&w.tenants[r.tenant].group).arrived++
 	}
 	if e.Prior == 0 {
 		w.ask(r.class, c.Worth)
--- a/policy_order.go
+++ b/policy_order.go
@@ -15,7 +15,8 @@
 	if !w.set.WorthByWork {
 		worth /= max(w.classes[r.class].base, 1) // else what a longer one costs more, it also earns more
 	}
-	class, tenant := w.lag(&w.classes[r.class].group, &w.allClasses), w.lag(&w.tenants[r.tenant], &w.allTenants)
+	class := w.lag(&w.classes[r.class].group, &w.allClasses)
+	tenant := w.lag(&w.tenants[r.tenant].group, &w.allTenants)
 	return worth * (g.Whole + g.WorstClass*class + g.WorstTenant*tenant)
 }
 
@@ -29,8 +30,8 @@
 	if w.set.Stage > 0 || tenant >= len(w.set.Tenants) {
 		return 1
 	}
-	rate := w.fading.touch(&w.tenants[tenant]).arrived / (rateOver / 1e6)
-	share := w.set.Tenants[tenant].Quota / float64(w.set.Workers)
+	t := &w.tenants[tenant]
+	rate, share := w.fading.touch(&t.group).arrived/(rateOver/1e6), t.share
 	if share > 0 {
 		share = max(share, 1e6/rateOver)
 	}
--- a/policy_test.go
+++ b/policy_test.go
@@ -789,7 +789,7 @@
 			b.step(now+20_000, Event{Kind: Gone, ID: id})
 		}
 	}
-	if flood, within := b.w.lag(&b.w.tenants[0], &b.w.allTenants), b.w.lag(&b.w.tenants[1], &b.w.allTenants); flood >= within {
+	if flood, within := b.w.lag(&b.w.tenants[0].group, &b.w.allTenants), b.w.lag(&b.w.tenants[1].group, &b.w.allTenants); flood >= within {
 		t.Errorf("the flood lags by %v, the tenant within its share by %v", flood, within)
 	}
 }
--- a/state.go
+++ b/state.go
@@ -94,7 +94,7 @@
 // Retune takes over new settings. Classes and tenants keep their places, new
 // ones follow; what was learned stays. On an error nothing has changed. The
 // slices in s are the worker's from then on: what changes in them comes by
-// another Retune.
+// another Retune, which is cheaper with fresh slices.
 func (w *Worker) Retune(s Settings) error {
 	if err := s.check(); err != nil {
 		return err
@@ -104,15 +104,16 @@
 	}
 	s.fill()
 	s.JustStarted = w.set.JustStarted
-	same := slices.Equal(w.set.Classes, s.Classes) // as when tenants change: the sums over the classes stand
+	before := w.set
 	w.set = s
 	for _, c := range s.Classes[len(w.classes):] {
 		w.classes = append(w.classes, class{base: float64(c.Aim) / firstGuess})
 	}
 	if more := len(s.Tenants) - len(w.tenants); more > 0 {
-		w.tenants = append(w.tenants, make([]group, more)...)
+		w.tenants = append(w.tenants, make([]tenant, more)...)
 	}
-	if !same {
+	w.allot(before.Tenants, before.Workers)
+	if !unchanged(before.Classes, s.Classes) {
 		w.weigh()
 	}
 	w.limit = max(w.limit, s.Cores)
@@ -122,6 +123,11 @@
 	return nil
 }
 
+// unchanged says whether nothing in a list has changed, as far as can be told: not where it was changed in place.
+func unchanged[T comparable](before, now []T) bool {
+	return len(before) > 0 && &before[0] != &now[0] && slices.Equal(before, now)
+}
+
 // find returns the request of that id, or nil.
 func (w *Worker) find(id RequestID) *request {
 	if i, ok := w.at[id]; ok {
--- a/worker.go
+++ b/worker.go
@@ -74,7 +74,7 @@
 	limit, spanDone, spanLate     int
 	progress                      int64 // the last sign of work getting on
 	classes                       []class
-	tenants                       []group
+	tenants                       []tenant
 	allClasses, allTenants        group // asked and served of all together, as of this batch
 	fading                        fading
 	weights                       weights // of the classes in the means below
@@ -117,13 +117,14 @@
 	w := &Worker{
 		shared: s.Below == BelowShared && s.CallShare > 0 && s.CallsOver > 0,
 		set:    s, rng: rand.New(rand.NewPCG(seed, 0)), at: map[RequestID]int{}, limit: s.Cores,
-		classes: make([]class, len(s.Classes)), tenants: make([]group, max(len(s.Tenants), 1)),
+		classes: make([]class, len(s.Classes)), tenants: make([]tenant, max(len(s.Tenants), 1)),
 		healthy: true, born: -1, said: -1,
 	}
 	for i, c := range s.Classes {
 		w.classes[i].base = float64(c.Aim) / firstGuess
 	}
 	w.weigh()
+	w.allot(nil, 0)
 	w.budget = shareSafe * s.CallShare * float64(s.CallsOver)
 	w.moveCalls(float64(s.Cores))
 	return w, nil
