--- a/internal/control/document/document.go
+++ b/internal/control/document/document.go
@@ -11,6 +11,17 @@
 // The digest of a version is SHA-256 over its header, which names the digest of
 // the parent and the digest of the content, see Header. Two versions with one
 // number and unlike digests are a fork; no server ever acts on the second.
+//
+// The digest of the content is that of a tree: the entries lie in 1,024 buckets by
+// a hash of kind and name, each bucket has a digest over its entries in canonical
+// CBOR, 32 buckets make a page, and 32 pages the whole. A change makes the digests
+// on its way up anew, and no others. Equal contents have equal digests, whatever
+// the way to them. Nothing in the tree or in the encoded forms may change without a
+// new form byte: versions of two releases are compared by it.
+//
+// What is checked here is what holds on every machine. What depends on one (is
+// there an engine, a ledger, what does the platform say where a contract is silent,
+// is the class that a pool names known) is left to the configuration of the server.
 package document
 
 import (
--- a/internal/control/document/faults_test.go
+++ b/internal/control/document/faults_test.go
@@ -321,6 +321,11 @@
 			t.Errorf("%+v, want %+v (%v)", delta, first, err)
 		}
 	}
+	plus, minus := mustDraft(t, Empty(), service("s", Contract{Class: "c", Worth: ref(0.0)})), mustDraft(t, Empty(),
+		service("s", Contract{Class: "c", Worth: ref(math.Copysign(0, -1))}))
+	if plus.Header.Content != minus.Header.Content {
+		t.Error("a worth of -0 makes another digest than one of 0")
+	}
 	unlike := map[Digest]string{first.Header.Content: "the first"}
 	for i, c := range []Change{team("a", 1.5), team("c", 1), service("s", Contract{Class: "d"}), service("s", Contract{Class: "c", Worth: ref(0.0)}),
 		service("s", Contract{Class: "c", Calls: ref(false)}), service("t", Contract{Class: "d"}), {Reserve: ref(0.5)},
