Core: new settings look through the kept keys only where a window grew

Each change of settings, also one of a single tenant, went through all kept keys on the loop to lengthen what a longer window forbids. Only a window that grew can lengthen anything: a key's guard is at least its window's end when it is entered, whoever tells of it.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -120,6 +120,7 @@
 	if err := c.worker.Retune(module); err != nil {
 		return err
 	}
+	longer := longerWindow(c.set.Module.Classes, module.Classes)
 	c.set.Module, c.set.Off = module, off
 	if err := c.repool(pools); err != nil {
 		return err
@@ -127,6 +128,9 @@
 	for len(c.classes) < len(module.Classes) {
 		c.classes = append(c.classes, Answers{})
 	}
+	if !longer { // what is kept bounds the cost only of a change that concerns it
+		return nil
+	}
 	for _, e := range c.table {
 		if e.ran != nil && c.keyed(e.ran.Class) {
 			if guard := c.windowEnd(e.ran); guard > e.guard {
@@ -138,6 +142,16 @@
 	return nil
 }
 
+// longerWindow says whether any class has a longer window than it had.
+func longerWindow(was, is []kiteslip.Class) bool {
+	for i := range was {
+		if is[i].Window > was[i].Window {
+			return true
+		}
+	}
+	return false
+}
+
 // Warmth tells when the machine's cores came up, and whether they were cold then.
 func (c *Core) Warmth(cold bool, since int64) { c.worker.Warmth(cold, since) }
 
