kiteslip check: lists fifty teams and classes, and sums up the rest

A file of a whole fleet made 24,000 lines. What is left out is counted, with its budgets, effects and the longest deadline; [control] has a line. describe has a file of its own now.

--- /dev/null
+++ b/cmd/kiteslip/check.go
@@ -0,0 +1,112 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"strings"
+
+	"kiteslip"
+	"kiteslip/internal/config"
+	"kiteslip/internal/server"
+)
+
+// listed is how many teams, and classes, are listed one by one; more are summed up.
+const listed = 50
+
+// describe says what a configuration amounts to, a line for each thing.
+func describe(w io.Writer, cfg *config.Config) {
+	fmt.Fprintf(w, "%s: frames on %s, uwsgi on %s, ops on %s, engine %s, registry %s\n", cfg.Name, or(cfg.Listen, "(off)"),
+		or(cfg.UWSGI.Listen, "(off)"), or(cfg.Ops, "(off)"), or(cfg.Engine, "(none)"), or(cfg.Registry, "(none)"))
+	fmt.Fprintf(w, "limits: %g cores, %d MB, %d sockets; %d ms from SIGTERM to the kill\n",
+		cfg.Limits.Cores, cfg.Limits.MemoryMB, cfg.Limits.Sockets, cfg.Stop/1000)
+	describeTeams(w, cfg)
+	describeClasses(w, cfg)
+	if cfg.Ledger != "" {
+		fmt.Fprintf(w, "ledger %s, up to %d connections\n", cfg.Ledger, server.LedgerPlaces(cfg))
+	} else if cfg.Calling() {
+		fmt.Fprintln(w, "no ledger: classes call below, and each call fails")
+	}
+	describePools(w, cfg)
+	if k := &cfg.Keys; k.Folder != "" {
+		durability, onError := "power", "keyed requests are refused"
+		if k.Process {
+			durability = "the process"
+		}
+		if k.Unsafe {
+			onError = "keyed requests run without a record"
+		}
+		fmt.Fprintf(w, "keys in %s: outlive %s, %d MB at most; where nothing can be recorded %s\n", k.Folder, durability, k.MaxBytes>>20, onError)
+	}
+	if k := &cfg.Control; k.On() {
+		fmt.Fprintf(w, "versions from %d publishers, region %s, kept in %s; a start waits %d ms; until a version is in force the teams, services and pools above are\n",
+			len(k.Publishers), k.Region, or(k.Folder, "(nowhere)"), k.Wait/1000)
+	}
+}
+
+func or(text, otherwise string) string {
+	if text == "" {
+		return otherwise
+	}
+	return text
+}
+
+func describeTeams(w io.Writer, cfg *config.Config) {
+	sum, rest := 0.0, 0.0
+	for i, name := range cfg.Tenants {
+		quota := cfg.Module.Tenants[i].Quota
+		if sum += quota; i < listed {
+			fmt.Fprintf(w, "team %s: %g requests/s\n", name, quota)
+		} else {
+			rest += quota
+		}
+	}
+	if n := len(cfg.Tenants); n > listed {
+		fmt.Fprintf(w, "and %d more teams with %g requests/s; %d teams with %g requests/s in all\n", n-listed, rest, n, sum)
+	}
+}
+
+func describeClasses(w io.Writer, cfg *config.Config) {
+	effects := map[kiteslip.Effect]string{kiteslip.Repeatable: "repeatable", kiteslip.Keyed: "keyed", kiteslip.Once: "once"}
+	counts, longest, backends := map[kiteslip.Effect]int{}, int64(0), map[string]bool{}
+	for i, name := range cfg.Classes {
+		class := &cfg.Module.Classes[i]
+		if i < listed {
+			fmt.Fprintf(w, "class %s: %s, aim %d ms, deadline %d ms, window %d ms, worth %g, body %d bytes, served by %s\n", name,
+				effects[class.Effect], class.Aim/1000, class.Limit/1000, class.Window/1000, class.Worth,
+				cfg.UWSGI.Contracts[i].MaxBody, or(cfg.Backends[i], "the engine"))
+			continue
+		}
+		counts[class.Effect]++
+		longest = max(longest, class.Limit)
+		backends[cfg.Backends[i]] = true
+	}
+	if n := len(cfg.Classes) - listed; n > 0 {
+		fmt.Fprintf(w, "and %d more classes (%d repeatable, %d keyed, %d once), deadline %d ms at most, served in %d places; %d classes in all\n", n,
+			counts[kiteslip.Repeatable], counts[kiteslip.Keyed], counts[kiteslip.Once], longest/1000, len(backends), len(cfg.Classes))
+	}
+}
+
+// describePools says what the pools amount to on this machine.
+func describePools(w io.Writer, cfg *config.Config) {
+	s := cfg.PoolSettings()
+	if s == nil {
+		return
+	}
+	for i, p := range cfg.Pools {
+		names := p.Classes
+		if len(names) > listed {
+			names = append(names[:listed:listed], fmt.Sprintf("and %d more", len(p.Classes)-listed))
+		}
+		spec := &s.Pools[i]
+		waiting := "what can be served in time"
+		if p.Waiting > 0 {
+			waiting = fmt.Sprint(p.Waiting)
+		}
+		fmt.Fprintf(w, "pool %s: %s; of %d places %.2f its own, %.2f at most, %d beyond the limit; of %.0f MB %.1f its own, %.1f at most; waiting: %s\n",
+			p.Name, strings.Join(names, ", "), s.Cores, spec.Share*float64(s.Cores), spec.MostPlaces()*float64(s.Cores),
+			s.Beyond(spec.Reserve), s.MemoryKB/1024, spec.OwnMemory()*s.MemoryKB/1024, spec.MostMemory()*s.MemoryKB/1024, waiting)
+	}
+	if cfg.CheapReserve > 0 {
+		fmt.Fprintf(w, "cheapest class, as learned: %d places beyond the limit\n", s.Beyond(cfg.CheapReserve))
+	}
+}
--- a/cmd/kiteslip/main.go
+++ b/cmd/kiteslip/main.go
@@ -4,17 +4,14 @@
 
 import (
 	"fmt"
-	"io"
 	"math"
 	"os"
 	"runtime"
 	"runtime/debug"
-	"strings"
 
 	"github.com/alecthomas/kong"
 	"go.uber.org/zap"
 
-	"kiteslip"
 	"kiteslip/internal/config"
 	"kiteslip/internal/server"
 )
@@ -104,67 +101,6 @@
 	return nil
 }
 
-// describe says what a configuration amounts to, a line for each thing.
-func describe(w io.Writer, cfg *config.Config) {
-	or := func(address, otherwise string) string {
-		if address == "" {
-			return otherwise
-		}
-		return address
-	}
-	fmt.Fprintf(w, "%s: frames on %s, uwsgi on %s, ops on %s, engine %s, registry %s\n", cfg.Name, or(cfg.Listen, "(off)"),
-		or(cfg.UWSGI.Listen, "(off)"), or(cfg.Ops, "(off)"), or(cfg.Engine, "(none)"), or(cfg.Registry, "(none)"))
-	fmt.Fprintf(w, "limits: %g cores, %d MB, %d sockets; %d ms from SIGTERM to the kill\n",
-		cfg.Limits.Cores, cfg.Limits.MemoryMB, cfg.Limits.Sockets, cfg.Stop/1000)
-	for i, name := range cfg.Tenants {
-		fmt.Fprintf(w, "team %s: %g requests/s\n", name, cfg.Module.Tenants[i].Quota)
-	}
-	effects := map[kiteslip.Effect]string{kiteslip.Repeatable: "repeatable", kiteslip.Keyed: "keyed", kiteslip.Once: "once"}
-	for i, name := range cfg.Classes {
-		class := &cfg.Module.Classes[i]
-		fmt.Fprintf(w, "class %s: %s, aim %d ms, deadline %d ms, window %d ms, worth %g, body %d bytes, served by %s\n", name,
-			effects[class.Effect], class.Aim/1000, class.Limit/1000, class.Window/1000, class.Worth,
-			cfg.UWSGI.Contracts[i].MaxBody, or(cfg.Backends[i], "the engine"))
-	}
-	if cfg.Ledger != "" {
-		fmt.Fprintf(w, "ledger %s, up to %d connections\n", cfg.Ledger, server.LedgerPlaces(cfg))
-	} else if cfg.Calling() {
-		fmt.Fprintln(w, "no ledger: classes call below, and each call fails")
-	}
-	describePools(w, cfg)
-	if k := &cfg.Keys; k.Folder != "" {
-		durability, onError := "power", "keyed requests are refused"
-		if k.Process {
-			durability = "the process"
-		}
-		if k.Unsafe {
-			onError = "keyed requests run without a record"
-		}
-		fmt.Fprintf(w, "keys in %s: outlive %s, %d MB at most; where nothing can be recorded %s\n", k.Folder, durability, k.MaxBytes>>20, onError)
-	}
-}
-
-// describePools says what the pools amount to on this machine.
-func describePools(w io.Writer, cfg *config.Config) {
-	s := cfg.PoolSettings()
-	if s == nil {
-		return
-	}
-	for i, p := range cfg.Pools {
-		spec := &s.Pools[i]
-		waiting := "what can be served in time"
-		if p.Waiting > 0 {
-			waiting = fmt.Sprint(p.Waiting)
-		}
-		fmt.Fprintf(w, "pool %s: %s; of %d places %.2f its own, %.2f at most, %d beyond the limit; of %.0f MB %.1f its own, %.1f at most; waiting: %s\n",
-			p.Name, strings.Join(p.Classes, ", "), s.Cores, spec.Share*float64(s.Cores), spec.MostPlaces()*float64(s.Cores),
-			s.Beyond(spec.Reserve), s.MemoryKB/1024, spec.OwnMemory()*s.MemoryKB/1024, spec.MostMemory()*s.MemoryKB/1024, waiting)
-	}
-	if cfg.CheapReserve > 0 {
-		fmt.Fprintf(w, "cheapest class, as learned: %d places beyond the limit\n", s.Beyond(cfg.CheapReserve))
-	}
-}
-
 type versionCmd struct{}
 
 func (c *versionCmd) Run() error {
