--- /dev/null
+++ b/internal/server/hold_test.go
@@ -0,0 +1,119 @@
+package server
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"kiteslip/internal/config"
+	"kiteslip/internal/control/document"
+)
+
+// The settings that the fleet is to bear.
+const (
+	fleetTeams   = 21_000
+	fleetClasses = 2_800
+)
+
+// fleet is a server, not started, that serves by a version of that size, in which
+// each of so many pools has ten classes.
+func fleet(t testing.TB, pools int) (*Server, *config.Places, *document.Document) {
+	t.Helper()
+	var all []document.Change
+	for i := range fleetTeams {
+		all = append(all, team(fmt.Sprint("team", i), 3))
+	}
+	for i := range fleetClasses {
+		all = append(all, service(fmt.Sprint("class", i)))
+	}
+	for i := range pools {
+		p := &document.Pool{Name: fmt.Sprint("pool", i), Share: 0.5 / float64(pools)}
+		for k := range 10 {
+			p.Classes = append(p.Classes, fmt.Sprint("class", 10*i+k))
+		}
+		all = append(all, document.Change{Pool: p})
+	}
+	doc, _ := follows(t, document.Empty(), all...)
+	places := config.NewPlaces(platform(t, "127.0.0.1:1", ""))
+	ch, err := places.Version(doc, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	places.Adopted(ch)
+	s, err := New(ch.Config, zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.scheduled = true // there is no loop that would run the round
+	return s, places, doc
+}
+
+// holds says how long the loop is held by each of a number of changes, and how
+// long each is made ready beside it; the median of both.
+func holds(t *testing.T, pools, times int, change func(i int) []document.Change) (beside, loop time.Duration) {
+	t.Helper()
+	s, places, doc := fleet(t, pools)
+	var besides, loops []time.Duration
+	for i := range times {
+		next, delta := follows(t, doc, change(i)...)
+		began := time.Now()
+		ch, err := places.Version(next, delta)
+		if err != nil {
+			t.Fatal(err)
+		}
+		ready := time.Now()
+		if err := s.adopt(ch); err != nil {
+			t.Fatal(err)
+		}
+		loops, besides = append(loops, time.Since(ready)), append(besides, ready.Sub(began))
+		places.Adopted(ch)
+		doc = next
+	}
+	slices.Sort(loops)
+	slices.Sort(besides)
+	return besides[times/2], loops[times/2]
+}
+
+// A change holds the loop by what it changes. The bounds are several times what
+// is wanted: this machine may be busy.
+func TestChangeHoldsTheLoopShortly(t *testing.T) {
+	for _, c := range []struct {
+		what  string
+		pools int
+		most  time.Duration
+		times int
+		make  func(i int) []document.Change
+	}{
+		{"one team's budget", 0, 4 * time.Millisecond, 31, func(i int) []document.Change { return []document.Change{team("team7", float64(i+10))} }},
+		{"a new team", 0, 4 * time.Millisecond, 31, func(i int) []document.Change { return []document.Change{team(fmt.Sprint("new", i), 1)} }},
+		{"a new class", 0, 4 * time.Millisecond, 31, func(i int) []document.Change { return []document.Change{service(fmt.Sprint("new", i))} }},
+		{"one team's budget, with 60 pools", 60, 4 * time.Millisecond, 31, func(i int) []document.Change { return []document.Change{team("team7", float64(i+10))} }},
+		{"a new class, with 60 pools", 60, 4 * time.Millisecond, 31, func(i int) []document.Change { return []document.Change{service(fmt.Sprint("new", i))} }},
+		{"5,000 teams", 0, 40 * time.Millisecond, 11, func(i int) []document.Change {
+			var all []document.Change
+			for k := range 5_000 {
+				all = append(all, team(fmt.Sprint("team", 4*k), float64(i+10)))
+			}
+			return all
+		}},
+		{"5,000 teams dropped, 2,000 new", 0, 40 * time.Millisecond, 3, func(i int) []document.Change {
+			var all []document.Change
+			for k := range 5_000 {
+				all = append(all, drop(team(fmt.Sprint("team", 5_000*i+k), 0)))
+			}
+			for k := range 2_000 {
+				all = append(all, team(fmt.Sprint("more", 2_000*i+k), 1))
+			}
+			return all
+		}},
+	} {
+		beside, loop := holds(t, c.pools, c.times, c.make)
+		t.Logf("%s of %d and %d classes: the loop is held %v, beside it %v (medians of %d)", c.what, fleetTeams, fleetClasses, loop, beside, c.times)
+		if loop > c.most {
+			t.Errorf("%s: the loop is held %v, want %v at most", c.what, loop, c.most)
+		}
+	}
+}
