Control: a follower keeps a server on its fleet's version

Each server read its own file: a change could not travel, and nobody could say which server acts on which version.

A Follower holds one standing HTTP/2 stream to a publisher of its own region, drawn by rendezvous hashing; which one comes next is decided by a part without I/O or clock, tested by scripts under testdata/seek. Another is turned to on silence, an end, a faulty record or a gap that stays; one that does better (returned to after a failure, or one that hears the originator) is asked beside the stream that stands, so that no change waits for the move. A fork, a wrong digest and a refused version leave what is in force; after a refusal the next version is taken over whole.

Ruled out: io.Pipe as the request's body (a publisher that reads nothing would hold up the follower), one Transport for all streams (a connection that fell silent would be used again), and leaving the stream that stands in order to ask another.

--- /dev/null
+++ b/internal/control/follow/fake_test.go
@@ -0,0 +1,377 @@
+package follow
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
+
+	"kiteslip/internal/control/document"
+	"kiteslip/internal/control/protocol"
+)
+
+// patience bounds every wait: what does not come fails the test and does not hang it.
+const patience = 20 * time.Second
+
+// fake is a publisher that says what the test says.
+type fake struct {
+	t       *testing.T
+	address string
+	streams chan *fakeStream
+	server  *http.Server
+}
+
+// fakeStream is one follower's stream at a fake.
+type fakeStream struct {
+	t     *testing.T
+	hello protocol.Hello
+	acks  chan protocol.Ack
+	gone  chan struct{} // closed when the follower has ended it
+	w     http.ResponseWriter
+	over  chan struct{}
+	once  sync.Once
+	mu    sync.Mutex // held while the stream is written to
+	ended bool       // ... which nobody may any more
+}
+
+func newFake(t *testing.T) *fake {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return serveFake(t, l)
+}
+
+func serveFake(t *testing.T, l net.Listener) *fake {
+	f := &fake{t: t, address: l.Addr().String(), streams: make(chan *fakeStream, 64)}
+	f.server = &http.Server{Protocols: new(http.Protocols), Handler: http.HandlerFunc(f.serve)}
+	f.server.Protocols.SetUnencryptedHTTP2(true)
+	go f.server.Serve(l) //nolint:errcheck // it ends with Close
+	t.Cleanup(f.close)
+	return f
+}
+
+func (f *fake) close() { f.server.Close() }
+
+func (f *fake) serve(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != protocol.PathFollow || r.Method != http.MethodPost {
+		http.NotFound(w, r)
+		return
+	}
+	s := &fakeStream{t: f.t, acks: make(chan protocol.Ack, 4096), gone: make(chan struct{}), w: w, over: make(chan struct{})}
+	w.WriteHeader(http.StatusOK)
+	w.(http.Flusher).Flush()
+	from := protocol.NewReader(r.Body)
+	var first protocol.FromFollower
+	if err := from.Read(&first); err != nil || first.Hello == nil {
+		return
+	}
+	s.hello = *first.Hello
+	go func() {
+		defer close(s.gone)
+		for {
+			var m protocol.FromFollower
+			if err := from.Read(&m); err != nil || m.Ack == nil {
+				return
+			}
+			s.acks <- *m.Ack
+		}
+	}()
+	f.streams <- s
+	select {
+	case <-s.over:
+	case <-s.gone:
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ended = true
+}
+
+// stream waits for the next follower's stream.
+func (f *fake) stream() *fakeStream {
+	f.t.Helper()
+	select {
+	case s := <-f.streams:
+		return s
+	case <-time.After(patience):
+		f.t.Fatal("nobody follows")
+		return nil
+	}
+}
+
+// none fails the test if somebody has turned to this publisher.
+func (f *fake) none() {
+	f.t.Helper()
+	select {
+	case s := <-f.streams:
+		f.t.Errorf("%s turned here", s.hello.Name)
+	default:
+	}
+}
+
+func (s *fakeStream) send(m protocol.FromPublisher) {
+	s.t.Helper()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ended {
+		return // the follower has left
+	}
+	if err := protocol.NewWriter(s.w).Write(&m); err == nil { // else it leaves at this moment
+		s.w.(http.Flusher).Flush()
+	}
+}
+
+func (s *fakeStream) beat(doc *document.Document, unheard time.Duration) {
+	s.t.Helper()
+	b := protocol.Beat{Unheard: unheard.Milliseconds()}
+	if doc != nil {
+		b.Number, b.Digest = doc.Header().Number, doc.Digest()
+	}
+	s.send(protocol.FromPublisher{Beat: &b})
+}
+
+func (s *fakeStream) delta(d *document.Delta) {
+	s.t.Helper()
+	s.send(protocol.FromPublisher{Delta: encode(s.t, d)})
+}
+
+func (s *fakeStream) snapshot(doc *document.Document) {
+	s.t.Helper()
+	b, err := doc.Snapshot()
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.send(protocol.FromPublisher{Snapshot: b})
+}
+
+// beats says that the publisher is there, about as often as it is due, until the test ends.
+func (s *fakeStream) beats(doc *document.Document, unheard time.Duration) (stop func()) {
+	done, ended := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(ended)
+		for {
+			s.beat(doc, unheard)
+			select {
+			case <-done:
+				return
+			case <-s.gone:
+				return
+			case <-time.After(protocol.BeatEvery / 4):
+			}
+		}
+	}()
+	var once sync.Once
+	stop = func() { once.Do(func() { close(done); <-ended }) }
+	s.t.Cleanup(stop)
+	return stop
+}
+
+// end ends the stream at the publisher's side.
+func (s *fakeStream) end() { s.once.Do(func() { close(s.over) }) }
+
+// ack waits for the next word.
+func (s *fakeStream) ack() protocol.Ack {
+	s.t.Helper()
+	select {
+	case a := <-s.acks:
+		return a
+	case <-time.After(patience):
+		s.t.Fatal("no ack")
+		return protocol.Ack{}
+	}
+}
+
+// left waits until the follower has left the stream.
+func (s *fakeStream) left() {
+	s.t.Helper()
+	select {
+	case <-s.gone:
+	case <-time.After(patience):
+		s.t.Fatal("the stream is not left")
+	}
+}
+
+func encode(t *testing.T, d *document.Delta) []byte {
+	t.Helper()
+	b, err := d.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
+// step makes the version after doc, which sets a team's quota.
+func step(t *testing.T, doc *document.Document, team string, quota float64) (*document.Document, *document.Delta) {
+	t.Helper()
+	d, err := doc.Draft([]document.Change{{Team: &document.Team{Name: team, Quota: quota}}},
+		document.Meta{Author: "test", Reason: "a step", Time: 1_700_000_000_000_000 + int64(doc.Header().Number)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	next, err := doc.Apply(d)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return next, d
+}
+
+// chain makes versions 1 to n: docs[i] is version i, deltas[i] the step to it.
+func chain(t *testing.T, n int) (docs []*document.Document, deltas []*document.Delta) {
+	t.Helper()
+	docs, deltas = []*document.Document{document.Empty()}, []*document.Delta{nil}
+	for i := 1; i <= n; i++ {
+		doc, d := step(t, docs[i-1], fmt.Sprintf("team-%d", i%7), float64(i))
+		docs, deltas = append(docs, doc), append(deltas, d)
+	}
+	return docs, deltas
+}
+
+// taken is what a server was told to take over.
+type taken struct {
+	doc   *document.Document
+	delta *document.Delta
+}
+
+// server is what stands behind a follower in a test: it checks that versions
+// come in order, each delta on the version in force.
+type server struct {
+	t       *testing.T
+	mu      sync.Mutex
+	inForce *document.Document // nil = the file
+	all     []taken
+	refuse  map[uint64]error
+}
+
+var errNoGood = errors.New("class x: no good here")
+
+func (s *server) apply(_ context.Context, doc *document.Document, delta *document.Delta) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if delta != nil && (s.inForce == nil || delta.Header.Parent != s.inForce.Digest() || delta.Header.Digest() != doc.Digest()) {
+		s.t.Errorf("version %d came as a delta on another than the one in force", doc.Header().Number)
+	}
+	if s.inForce != nil && doc.Header().Number <= s.inForce.Header().Number {
+		s.t.Errorf("version %d after %d", doc.Header().Number, s.inForce.Header().Number)
+	}
+	s.all = append(s.all, taken{doc, delta})
+	if err := s.refuse[doc.Header().Number]; err != nil {
+		return err
+	}
+	s.inForce = doc
+	return nil
+}
+
+func (s *server) number() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.inForce == nil {
+		return 0
+	}
+	return s.inForce.Header().Number
+}
+
+// following is a follower under test, with its server.
+type following struct {
+	*Follower
+	server *server
+	logs   *observer.ObservedLogs
+	cancel context.CancelFunc
+	ended  chan struct{}
+}
+
+// settings of a follower of these publishers, all of its region.
+func settings(publishers ...*fake) Settings {
+	set := Settings{Name: "server-1", Region: "north", Seed: 7, Wait: patience}
+	for _, p := range publishers {
+		set.Publishers = append(set.Publishers, Publisher{p.address, "north"})
+	}
+	return set
+}
+
+// prefer puts the publishers in the order that the follower has.
+func prefer(set *Settings, publishers ...*fake) (ranked []*fake) {
+	for _, p := range newSeeker(set).order {
+		for _, f := range publishers {
+			if f.address == set.Publishers[p].Address {
+				ranked = append(ranked, f)
+			}
+		}
+	}
+	return ranked
+}
+
+// newFollowing makes a follower that does not follow yet.
+func newFollowing(t *testing.T, set Settings) *following {
+	t.Helper()
+	core, logs := observer.New(zapcore.DebugLevel)
+	set.Log = zap.New(core)
+	f, err := New(set)
+	if err != nil {
+		t.Fatal(err)
+	}
+	fo := &following{Follower: f, server: &server{t: t, refuse: map[uint64]error{}}, logs: logs}
+	t.Cleanup(func() {
+		fo.stop()
+		if t.Failed() {
+			for _, e := range logs.All() {
+				t.Logf("%s %s %v", e.Level, e.Message, e.ContextMap())
+			}
+		}
+	})
+	return fo
+}
+
+// run follows beside the test.
+func (f *following) run() *following {
+	ctx, cancel := context.WithCancel(context.Background())
+	f.cancel, f.ended = cancel, make(chan struct{})
+	go func() {
+		defer close(f.ended)
+		f.Run(ctx, f.server.apply)
+	}()
+	return f
+}
+
+// follows makes a follower and runs it.
+func follows(t *testing.T, set Settings) *following {
+	t.Helper()
+	return newFollowing(t, set).run()
+}
+
+// stop ends the follower and waits for its end.
+func (f *following) stop() {
+	if f.cancel != nil {
+		f.cancel()
+		<-f.ended
+	}
+}
+
+func (f *following) said(text string) int {
+	n := 0
+	for _, e := range f.logs.All() {
+		if strings.Contains(e.Message, text) {
+			n++
+		}
+	}
+	return n
+}
+
+// eventually waits until ok.
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for began := time.Now(); !ok(); time.Sleep(time.Millisecond) {
+		if time.Since(began) > patience {
+			t.Fatalf("%s: not within %v", what, patience)
+		}
+	}
+}
--- a/internal/control/follow/follow.go
+++ b/internal/control/follow/follow.go
@@ -28,10 +28,11 @@
 	Name       string // of the server
 	Region     string
 	Publishers []Publisher
-	Folder     string        // where the version in force is kept; "" = nowhere
-	Wait       time.Duration // how long First waits for a publisher
-	Seed       uint64        // of the jitter
-	Publisher  bool          // it follows for a publisher, not for a server
+	Folder     string             // where the version in force is kept; "" = nowhere
+	Wait       time.Duration      // how long First waits for a publisher
+	Seed       uint64             // of the jitter
+	Publisher  bool               // it follows for a publisher, not for a server: the first of Publishers is the originator
+	Have       *document.Document // in force already, where what is in force is kept elsewhere than in Folder; nil = nothing
 	Log        *zap.Logger
 }
 
@@ -55,8 +56,8 @@
 	Lag       time.Duration // since a version that is not in force here was first told of; 0 = current
 	Refused   string        // why the version that came last is not in force
 	Fork      bool
-	Applied   int // versions taken over since the start
-	Snapshots int
+	Applied   int   // versions taken over since Run began
+	Snapshots int   // versions that came whole
 	Switches  int   // changes of publisher
 	Sent      int64 // bytes, both ways, since the start
 	Received  int64
--- /dev/null
+++ b/internal/control/follow/stream.go
@@ -0,0 +1,258 @@
+package follow
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"kiteslip/internal/control/protocol"
+)
+
+// The bounds of one stream.
+const (
+	answerMost  = time.Second            // for a publisher to take the stream
+	partWithin  = 250 * time.Millisecond // for the last word to be taken
+	receiveMost = 64 << 10               // bytes that wait in the transport
+	frameMost   = 16 << 10
+	wordsMost   = 64  // words that wait to be sent: the oldest goes for the newest
+	answerText  = 256 // bytes of a publisher's refusal that are told
+)
+
+// traffic counts the bytes of all streams, HTTP/2's own included.
+type traffic struct{ sent, received atomic.Int64 }
+
+// stream is one standing request to a publisher. It has a connection of its own,
+// which ends with it: one that has fallen silent is never used again.
+type stream struct {
+	to     int // the publisher's place
+	came   chan protocol.FromPublisher
+	words  words
+	cancel context.CancelFunc
+	ended  chan struct{} // closed when nothing of it runs any more
+	err    error         // why it ended; to be read once ended is closed
+
+	clock    func() time.Duration
+	openedAt time.Duration
+	within   time.Duration // for the publisher to answer
+	tookAt   time.Duration // when the owner had done with a record; the owner's
+	heardAt  atomic.Int64  // when bytes last came, by the clock; 0 = never
+	spoke    bool          // a record has come; the owner's
+	retold   bool          // what is refused here was said on it; the owner's
+
+	ahead int // beats in a row that tell of a version of which nothing comes; the owner's
+}
+
+// open begins a stream, beside the caller.
+func open(to int, address string, hello *protocol.Hello, count *traffic, clock func() time.Duration, within time.Duration) *stream {
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &stream{to: to, came: make(chan protocol.FromPublisher), ended: make(chan struct{}), clock: clock, openedAt: clock(), within: within}
+	s.cancel = func() {
+		cancel()
+		s.words.Close() //nolint:errcheck // it has none; the transport waits in Read for what we say, whatever becomes of the request
+	}
+	s.words.some.L = &s.words.mu
+	s.words.say(&protocol.FromFollower{Hello: hello})
+	go func() {
+		defer close(s.ended)
+		s.err = s.run(ctx, address, count)
+		s.cancel()
+	}()
+	return s
+}
+
+// run opens the stream and hands on what comes, one record at a time: a slow
+// owner holds back the publisher, and nothing is gathered here.
+func (s *stream) run(ctx context.Context, address string, count *traffic) error {
+	var conn net.Conn
+	var mu sync.Mutex
+	defer func() {
+		mu.Lock()
+		defer mu.Unlock()
+		if conn != nil {
+			conn.Close()
+		}
+	}()
+	transport := &http.Transport{
+		Protocols: new(http.Protocols), DisableCompression: true, DisableKeepAlives: true,
+		HTTP2: &http.HTTP2Config{MaxReceiveBufferPerConnection: receiveMost, MaxReceiveBufferPerStream: receiveMost,
+			MaxReadFrameSize: frameMost, MaxDecoderHeaderTableSize: 4 << 10, MaxEncoderHeaderTableSize: 4 << 10},
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			c, err := (&net.Dialer{Timeout: answerMost}).DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			mu.Lock()
+			conn = c
+			mu.Unlock()
+			return &counted{c, count}, nil
+		},
+	}
+	transport.Protocols.SetUnencryptedHTTP2(true)
+	defer transport.CloseIdleConnections()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+protocol.PathFollow, &s.words)
+	if err != nil {
+		return err
+	}
+	answer, err := transport.RoundTrip(request)
+	if err != nil {
+		return err
+	}
+	defer answer.Body.Close()
+	s.heardAt.Store(int64(s.clock()))
+	if answer.StatusCode != http.StatusOK {
+		text, _ := io.ReadAll(io.LimitReader(answer.Body, answerText))
+		return fmt.Errorf("the publisher answers %s: %.*q", answer.Status, answerText, text)
+	}
+	from := protocol.NewReader(&noted{answer.Body, s})
+	for {
+		var r protocol.FromPublisher
+		if err := from.Read(&r); err != nil {
+			return err
+		}
+		select {
+		case s.came <- r:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// silent says when the stream is to be left unless something comes before.
+func (s *stream) silent() time.Duration {
+	if at := s.heardAt.Load(); at != 0 {
+		return max(time.Duration(at), s.tookAt) + protocol.SilentMost // what the owner takes time for is no silence
+	}
+	return s.openedAt + s.within
+}
+
+// end ends the stream, after a last word if there is one, and returns when
+// nothing of it is left.
+func (s *stream) end(word *protocol.Ack) {
+	if word != nil {
+		s.words.say(&protocol.FromFollower{Ack: word})
+		s.words.last()
+		late := time.NewTimer(partWithin)
+		defer late.Stop()
+		for waits := true; waits; {
+			select {
+			case <-s.came: // it comes too late
+			case <-s.ended:
+				waits = false
+			case <-late.C:
+				waits = false
+			}
+		}
+	}
+	s.cancel()
+	<-s.ended
+}
+
+// why is what the stream ended by, in words for the log.
+func (s *stream) why() string {
+	switch {
+	case errors.Is(s.err, io.EOF):
+		return "the publisher ended the stream"
+	case s.err == nil:
+		return "ended"
+	}
+	return s.err.Error()
+}
+
+// noted notes when bytes come, so that a large record that is on its way is no silence.
+type noted struct {
+	io.Reader
+	s *stream
+}
+
+func (n *noted) Read(p []byte) (int, error) {
+	k, err := n.Reader.Read(p)
+	if k > 0 {
+		n.s.heardAt.Store(int64(n.s.clock()))
+	}
+	return k, err
+}
+
+// counted counts the bytes of a connection.
+type counted struct {
+	net.Conn
+	count *traffic
+}
+
+func (c *counted) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.count.received.Add(int64(n))
+	return n, err
+}
+
+func (c *counted) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.count.sent.Add(int64(n))
+	return n, err
+}
+
+// words are what the follower says: the request's body. Saying never waits: a
+// publisher that takes nothing holds up nobody here.
+type words struct {
+	mu     sync.Mutex
+	some   sync.Cond
+	queue  [][]byte // the first may have gone in part
+	done   bool     // the body ends behind what is queued
+	closed bool
+}
+
+func (w *words) say(word *protocol.FromFollower) {
+	var b bytes.Buffer
+	if err := protocol.NewWriter(&b).Write(word); err != nil {
+		return // the word is ours: it cannot be too long
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if len(w.queue) >= wordsMost {
+		w.queue = append(w.queue[:1], w.queue[2:]...)
+	}
+	w.queue = append(w.queue, b.Bytes())
+	w.some.Broadcast()
+}
+
+func (w *words) last() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.done = true
+	w.some.Broadcast()
+}
+
+// Read is called by the transport.
+func (w *words) Read(p []byte) (int, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for len(w.queue) == 0 && !w.done && !w.closed {
+		w.some.Wait()
+	}
+	switch {
+	case w.closed:
+		return 0, net.ErrClosed
+	case len(w.queue) == 0:
+		return 0, io.EOF
+	}
+	n := copy(p, w.queue[0])
+	if w.queue[0] = w.queue[0][n:]; len(w.queue[0]) == 0 {
+		w.queue = w.queue[1:]
+	}
+	return n, nil
+}
+
+// Close is called by the transport, and at the end.
+func (w *words) Close() error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.closed = true
+	w.some.Broadcast()
+	return nil
+}
