A server serves by its fleet's version: start, door, figures, notice to leave

With [control] serve waits for the first version, lays it over its file, says what it starts by, and follows beside the loop until the notice to leave. show-version and control.* tell number, digest, origin, publisher, age and lag. Without [control] nothing of it exists.

--- a/cmd/kiteslip/main.go
+++ b/cmd/kiteslip/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"math"
 	"os"
@@ -13,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"kiteslip/internal/config"
+	"kiteslip/internal/control/follow"
 	"kiteslip/internal/server"
 )
 
@@ -71,10 +73,21 @@
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Limits.Cores))))
 	debug.SetMemoryLimit(cfg.Limits.Heap())
 	debug.SetGCPercent(gcPercent)
+	var follower *follow.Follower
+	if cfg.Control.On() {
+		ctx, end := context.WithCancel(context.Background())
+		defer end()
+		if cfg, follower, signals, err = startBy(ctx, cfg, signals, log); err != nil {
+			return err
+		}
+	}
 	s, err := server.New(cfg, log)
 	if err != nil {
 		return err
 	}
+	if follower != nil {
+		s.Follow(follower)
+	}
 	s.Reload = func() (*config.Config, error) { return load(c.Operator) }
 	return s.Serve(signals)
 }
--- a/internal/figures/figures.go
+++ b/internal/figures/figures.go
@@ -36,6 +36,7 @@
 	Pools             []Pool
 	Keys              *Keys // nil = none are kept
 	Ledger            *Ledger
+	Control           *Control       // nil = off
 	RejectedBy        []reject.Total // what was turned away unread, by cause
 }
 
@@ -66,6 +67,9 @@
 	if f.Ledger != nil {
 		f.Ledger.append(line)
 	}
+	if f.Control != nil {
+		f.Control.append(line)
+	}
 	for _, r := range f.RejectedBy {
 		line("rejected."+clean.Replace(r.Cause), r.Count, "c")
 	}
@@ -131,3 +135,35 @@
 		line("ledger."+end.Cause, end.Count, "c")
 	}
 }
+
+// Control are the figures of the version that the server acts on.
+type Control struct {
+	Version             int  // 0 = none
+	AgeMS               int  // since the originator was last heard
+	LagMS               int  // since a version that is not in force here was told of; 0 = current
+	Followed            bool // a publisher is
+	Refused, Fork       bool
+	Applied             int
+	Snapshots, Switches int
+	Sent, Received      int // bytes
+}
+
+func (c *Control) append(line func(name string, value int, kind string)) {
+	bit := func(b bool) int {
+		if b {
+			return 1
+		}
+		return 0
+	}
+	line("control.version", c.Version, "g")
+	line("control.age_ms", c.AgeMS, "g")
+	line("control.lag_ms", c.LagMS, "g")
+	line("control.followed", bit(c.Followed), "g")
+	line("control.refused", bit(c.Refused), "g")
+	line("control.fork", bit(c.Fork), "g")
+	line("control.applied", c.Applied, "c")
+	line("control.snapshots", c.Snapshots, "c")
+	line("control.switches", c.Switches, "c")
+	line("control.sent_bytes", c.Sent, "c")
+	line("control.received_bytes", c.Received, "c")
+}
--- a/internal/figures/figures_test.go
+++ b/internal/figures/figures_test.go
@@ -10,4 +10,12 @@
 	if got := string(f.Append(nil)); got != want {
 		t.Errorf("got\n%swant\n%s", got, want)
 	}
+	f = Figures{Control: &Control{Version: 12, AgeMS: 3, LagMS: 4, Followed: true, Fork: true, Applied: 5, Snapshots: 6, Switches: 7, Sent: 8, Received: 9}}
+	want = "app.tries:0|c\napp.active:0|g\napp.config_applied:0|c\napp.config_rejected:0|c\n" +
+		"app.control.version:12|g\napp.control.age_ms:3|g\napp.control.lag_ms:4|g\napp.control.followed:1|g\napp.control.refused:0|g\n" +
+		"app.control.fork:1|g\napp.control.applied:5|c\napp.control.snapshots:6|c\napp.control.switches:7|c\n" +
+		"app.control.sent_bytes:8|c\napp.control.received_bytes:9|c\n"
+	if got := string(f.Append(nil)); got != want {
+		t.Errorf("got\n%swant\n%s", got, want)
+	}
 }
--- a/internal/ops/ops.go
+++ b/internal/ops/ops.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"fmt"
+	"strings"
 )
 
 // Call is what an operator asks for.
@@ -12,13 +13,15 @@
 
 // The calls.
 const (
-	Ready    Call = iota + 1 // does this process take clients?
-	ShowStat                 // the figures
-	Drain                    // be taken off the callers' list
-	Resume                   // take clients again
+	Ready       Call = iota + 1 // does this process take clients?
+	ShowStat                    // the figures
+	Drain                       // be taken off the callers' list
+	Resume                      // take clients again
+	ShowVersion                 // the version that is served by
 )
 
-var calls = map[string]Call{"ready": Ready, "show-stat": ShowStat, "drain": Drain, "resume": Resume}
+var calls = map[string]Call{"ready": Ready, "show-stat": ShowStat, "drain": Drain, "resume": Resume,
+	"show-version": ShowVersion}
 
 // MaxLine is the longest line that is read, its end included.
 const MaxLine = 256
@@ -41,7 +44,7 @@
 	if call, known := calls[string(bytes.TrimSpace(line))]; known {
 		return call, nil
 	}
-	return 0, fmt.Errorf("unknown call %.40q; known are ready, show-stat, drain, resume", line)
+	return 0, fmt.Errorf("unknown call %.40q; known are ready, show-stat, show-version, drain, resume", line)
 }
 
 // Done says that the call was carried out, or yes.
@@ -52,3 +55,33 @@
 
 // Stat ends the figures.
 func Stat(figures []byte) []byte { return append(figures, "end\n"...) }
+
+// VersionState is what show-version tells.
+type VersionState struct {
+	Number              uint64
+	Digest              [32]byte
+	Origin              string // none, folder or publisher
+	Publisher           string // that is followed; "" = none
+	AgeMS               int64  // since the originator was last heard
+	LagMS               int64  // since a version that is not in force here was told of; 0 = current
+	Refused             string // why the version that came last is not in force; "" = it is
+	Fork                bool   // another version with this number was seen
+	Applied             int
+	Snapshots, Switches int
+	Sent, Received      int64 // bytes
+}
+
+// Version words the version that is served by, a line for each thing.
+func Version(v *VersionState) []byte {
+	or := func(text string) string {
+		if text == "" {
+			return "-"
+		}
+		return strings.Join(strings.FieldsFunc(text, func(r rune) bool { return r < ' ' || r == 0x7f }), "; ")
+	}
+	b := fmt.Appendf(nil, "version %d\ndigest %x\norigin %s\npublisher %s\nage_ms %d\nlag_ms %d\n", v.Number, v.Digest, or(v.Origin),
+		or(v.Publisher), v.AgeMS, v.LagMS)
+	b = fmt.Appendf(b, "refused %s\nfork %t\napplied %d\nsnapshots %d\nswitches %d\nsent_bytes %d\nreceived_bytes %d\n", or(v.Refused),
+		v.Fork, v.Applied, v.Snapshots, v.Switches, v.Sent, v.Received)
+	return append(b, "end\n"...)
+}
--- a/internal/server/admin.go
+++ b/internal/server/admin.go
@@ -110,6 +110,8 @@
 	case ops.ShowStat:
 		f := s.figures()
 		return ops.Stat(f.Append(nil))
+	case ops.ShowVersion:
+		return s.showVersion()
 	case ops.Drain:
 		s.withdraw(true)
 		return ops.Done("drain")
@@ -154,6 +156,7 @@
 	}
 	f.RejectedBy = s.rejects.Totals()
 	f.Ledger = s.ledgerFigures()
+	f.Control = s.controlFigures()
 	if w := s.keys.worker; w != nil {
 		k := w.Figures()
 		f.Keys = &figures.Keys{Restored: s.keys.restored, Unknown: s.keys.unknown, Commits: int(k.Commits), Records: int(k.Operations),
--- /dev/null
+++ b/internal/server/control.go
@@ -0,0 +1,85 @@
+package server
+
+import (
+	"context"
+	"time"
+
+	"kiteslip/internal/control/follow"
+	"kiteslip/internal/figures"
+	"kiteslip/internal/ops"
+)
+
+// partingMost is how long the end of the process waits for the follower's: its
+// last word was said at the notice to leave, and the file it writes is replaced
+// as a whole, so that nothing is lost with it.
+const partingMost = 100 * time.Millisecond
+
+// control is what a server has of the fleet's versions: a follower that runs
+// beside the loop. Without one there is no goroutine, and nothing on the loop asks for it.
+type control struct {
+	follower *follow.Follower
+	end      context.CancelFunc
+	ended    chan struct{}
+}
+
+// Follow has the server take over the versions that f brings, from Serve on until
+// the notice to leave. The server was made with the document that f.First returned.
+func (s *Server) Follow(f *follow.Follower) { s.control.follower = f }
+
+// beginFollowing runs the follower beside the loop.
+func (s *Server) beginFollowing() {
+	c := &s.control
+	if c.follower == nil {
+		return
+	}
+	ctx, end := context.WithCancel(s.life)
+	c.end, c.ended = end, make(chan struct{})
+	go func() {
+		defer close(c.ended)
+		c.follower.Run(ctx, s.takeVersion)
+	}()
+}
+
+// endFollowing takes no version from here on, and has the follower say that the
+// server leaves.
+func (s *Server) endFollowing() {
+	if s.control.end != nil {
+		s.control.end()
+	}
+}
+
+// parted waits for the follower's end, for a moment.
+func (c *control) parted() {
+	if c.end == nil {
+		return
+	}
+	c.end()
+	late := time.NewTimer(partingMost)
+	defer late.Stop()
+	select {
+	case <-c.ended:
+	case <-late.C:
+	}
+}
+
+// showVersion answers the operators' door.
+func (s *Server) showVersion() []byte {
+	if s.control.follower == nil {
+		return ops.Error("no [control]: the file's own teams and services are in force")
+	}
+	st := s.control.follower.State()
+	return ops.Version(&ops.VersionState{Number: st.Number, Digest: st.Digest, Origin: string(st.Origin), Publisher: st.Publisher,
+		AgeMS: st.Unheard.Milliseconds(), LagMS: st.Lag.Milliseconds(), Refused: st.Refused, Fork: st.Fork, Applied: st.Applied,
+		Snapshots: st.Snapshots, Switches: st.Switches, Sent: st.Sent, Received: st.Received})
+}
+
+// controlFigures are those of the version in force; nil = control is off.
+func (s *Server) controlFigures() *figures.Control {
+	if s.control.follower == nil {
+		return nil
+	}
+	st := s.control.follower.State()
+	return &figures.Control{Version: int(st.Number), AgeMS: int(st.Unheard.Milliseconds()), LagMS: int(st.Lag.Milliseconds()),
+		Followed: st.Publisher != "", Refused: st.Refused != "", Fork: st.Fork, Applied: st.Applied, Snapshots: st.Snapshots,
+		Switches: st.Switches, Sent: int(st.Sent), Received: int(st.Received)}
+}
--- a/internal/server/places.go
+++ b/internal/server/places.go
@@ -19,6 +19,7 @@
 	ownDescriptors     = 24 // measured: 15 at rest, 19 while a link is sought beside one in use
 	meetingDescriptors = 8  // an upgrade's meeting place, its lock and links
 	keyDescriptors     = 64 // the store of keys: its lock, logs and tables
+	controlDescriptors = 8  // a stream to a publisher and one that is asked beside it; the kept version, its lock and folder
 	adminShare         = 8  // the part of the descriptors that the admin endpoint may take
 	ledgerShare        = 8  // ... that connections to the ledger may take
 	ledgerMost         = 64
@@ -37,6 +38,9 @@
 	if cfg.Keys.Folder != "" {
 		p.Own += min(keyDescriptors, cfg.Limits.Sockets/4)
 	}
+	if cfg.Control.On() {
+		p.Own += controlDescriptors
+	}
 	if cfg.Ops != "" {
 		p.Admin = max(1, min(adminPlaces, cfg.Limits.Sockets/adminShare))
 	}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -112,6 +112,7 @@
 	keys     keys
 	book     *uwsgi.Book
 	below    below
+	control  control
 	rejects  reject.Book
 	backends map[*backendConn]struct{}
 	calls    int    // backends that may be called at once
@@ -197,9 +198,12 @@
 		go s.accept(*s.admin)
 	}
 	go s.reloads(signals.Reload)
+	s.beginFollowing()
+	defer s.control.parted()
 	for {
 		select {
 		case n := <-signals.Stop:
+			s.endFollowing()
 			s.onLoop(func() { s.drain(n.Signal.String(), n.At.UnixMicro()) })
 		case err := <-s.done:
 			return err
