--- /dev/null
+++ b/cmd/kiteslip/control_follow_test.go
@@ -0,0 +1,675 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"kiteslip/internal/config"
+	"kiteslip/internal/control/document"
+	"kiteslip/internal/control/publish"
+	"kiteslip/internal/faultnet"
+	"kiteslip/internal/frame"
+	"kiteslip/internal/standin"
+	"kiteslip/internal/standin/box"
+	"kiteslip/internal/testfleet"
+)
+
+// healWithin is how soon a version is in force after a fault has healed.
+const healWithin = 6 * time.Second
+
+// machine starts a control machine; with others it follows them, the first of which originates.
+func machine(t *testing.T, name, region string, deltas int, follow ...testfleet.ControlTarget) *testfleet.Control {
+	t.Helper()
+	return testfleet.StartControl(t, testfleet.ControlSpec{Path: os.Args[0], Env: []string{asServer + "=1"}, Name: name, Region: region,
+		Deltas: deltas, Follow: follow})
+}
+
+// linkTo is a link to an address that can be struck.
+func linkTo(t *testing.T, address string) *faultnet.Link {
+	t.Helper()
+	l, err := faultnet.New(address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(l.Close)
+	return l
+}
+
+// controlText is [control] of a server's file.
+func controlText(region, folder string, waitMS int, publishers ...testfleet.ControlTarget) string {
+	text := fmt.Sprintf("[control]\nregion = %q\nwait_ms = %d\n", region, waitMS)
+	if folder != "" {
+		text += fmt.Sprintf("folder = %q\n", folder)
+	}
+	for _, p := range publishers {
+		text += fmt.Sprintf("[[control.publisher]]\naddress = %q\nregion = %q\n", p.Address, p.Region)
+	}
+	return text
+}
+
+// followerProgram starts a server that follows, with an engine of its own.
+func followerProgram(t *testing.T, operator string) *testfleet.Program {
+	t.Helper()
+	engine, err := box.Serve(box.Spec{Cores: 64})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(engine.Close)
+	return testfleet.Start(t, testfleet.Spec{Path: os.Args[0], Env: []string{asServer + "=1"}, Name: "n0", Operator: operator,
+		Config: followerConfig(engine.Address)})
+}
+
+func followerConfig(engine string) map[string]any {
+	return map[string]any{"engine": engine, "stop_ms": 3000, "settings": json.RawMessage(lookSite),
+		"limits": map[string]any{"cores": 1, "memory_mb": 96, "sockets": 256}}
+}
+
+// shown is what show-version tells, by its first words.
+func shown(t testing.TB, ops string) map[string]string {
+	t.Helper()
+	m := map[string]string{}
+	for _, line := range strings.Split(standin.Ask(t, ops, "show-version"), "\n") {
+		if key, value, ok := strings.Cut(line, " "); ok {
+			m[key] = value
+		}
+	}
+	return m
+}
+
+func number(t testing.TB, ops string) uint64 {
+	t.Helper()
+	n, err := strconv.ParseUint(shown(t, ops)["version"], 10, 64)
+	if err != nil {
+		t.Errorf("show-version: %v", err)
+	}
+	return n
+}
+
+// line publishes versions and knows them all.
+type line struct {
+	t       *testing.T
+	client  publish.Client
+	mu      sync.Mutex
+	digests map[uint64]string
+	last    uint64
+}
+
+func newLine(t *testing.T, originator *testfleet.Control) *line {
+	return &line{t: t, client: publish.Client{Address: originator.Address}, digests: map[uint64]string{}}
+}
+
+// publish makes one version.
+func (l *line) publish(changes ...document.Change) uint64 {
+	l.t.Helper()
+	ctx, end := context.WithTimeout(context.Background(), 20*time.Second)
+	defer end()
+	h, err := l.client.Changes(ctx, changes, document.Meta{Author: "anna", Reason: "a test"}, document.Digest{})
+	if err != nil {
+		l.t.Fatal(err)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	d := h.Digest()
+	l.digests[h.Number], l.last = fmt.Sprintf("%x", d[:]), h.Number
+	return h.Number
+}
+
+// more makes n versions, each of which changes a team's budget.
+func (l *line) more(n int) uint64 {
+	l.t.Helper()
+	for range n {
+		l.publish(budget("teal", float64(10+l.last)))
+	}
+	return l.last
+}
+
+// watch looks at a server's version all the time: it is one of the line and
+// never goes back. stop ends it.
+func (l *line) watch(ops string) (stop func()) {
+	done, ended := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(ended)
+		for before := uint64(0); ; time.Sleep(5 * time.Millisecond) {
+			select {
+			case <-done:
+				return
+			default:
+			}
+			c, err := net.Dial("tcp", ops)
+			if err != nil {
+				continue // it is between two lives
+			}
+			c.Close()
+			m := shown(l.t, ops)
+			n, err := strconv.ParseUint(m["version"], 10, 64)
+			if err != nil {
+				continue
+			}
+			l.mu.Lock()
+			want, known := l.digests[n]
+			l.mu.Unlock()
+			if n < before || known && m["digest"] != want {
+				l.t.Errorf("version %d %s after %d, want the digest %q", n, m["digest"], before, want)
+			}
+			before = n
+		}
+	}()
+	var once sync.Once
+	stop = func() { once.Do(func() { close(done); <-ended }) }
+	l.t.Cleanup(stop)
+	return stop
+}
+
+func budget(name string, quota float64) document.Change {
+	return document.Change{Team: &document.Team{Name: name, Quota: quota}}
+}
+
+func offered(name string) document.Change {
+	aim, deadline := 4000.0, 5000.0
+	return document.Change{Service: &document.Service{Name: name, Contracts: []document.Contract{
+		{Class: name, Effect: "repeatable", AimMS: &aim, DeadlineMS: &deadline}}}}
+}
+
+// traffic asks all the time: every request is answered, and served.
+type traffic struct {
+	t      *testing.T
+	served atomic.Int64
+	done   chan struct{}
+	ended  chan struct{}
+	once   sync.Once
+}
+
+func ask(t *testing.T, clients, class, tenant string) *traffic {
+	l := &traffic{t: t, done: make(chan struct{}), ended: make(chan struct{})}
+	go func() {
+		defer close(l.ended)
+		var c *standin.Caller
+		for name := uint64(1); ; name++ {
+			select {
+			case <-l.done:
+				if c != nil {
+					c.Conn.Close()
+				}
+				return
+			default:
+			}
+			if c == nil {
+				conn, err := net.Dial("tcp", clients)
+				if err != nil {
+					name--
+					time.Sleep(time.Millisecond)
+					continue // between two processes nobody may listen
+				}
+				conn.Close()
+				c = standin.Dial(t, clients)
+			}
+			c.Send(uint32(name), standin.Fields(class, tenant, "", name, 4*time.Second), "1000")
+			away := false
+			for {
+				got, ok := c.Next()
+				if !ok {
+					t.Errorf("request %d is lost", name)
+					c = nil
+					break
+				}
+				if got.Type == frame.GoAway {
+					away = true
+					continue
+				}
+				if got.Type == frame.Answer {
+					if got.Code == frame.Served {
+						l.served.Add(1)
+					} else if !away {
+						t.Errorf("request %d: code %d", name, got.Code)
+					}
+					break
+				}
+			}
+			if away && c != nil {
+				c.Conn.Close()
+				c = nil
+			}
+		}
+	}()
+	t.Cleanup(l.stop)
+	return l
+}
+
+func (l *traffic) stop() { l.once.Do(func() { close(l.done); <-l.ended }) }
+
+// goesOn waits until so many more are served.
+func (l *traffic) goesOn(n int64) {
+	l.t.Helper()
+	until := l.served.Load() + n
+	testfleet.Eventually(l.t, "requests are served", func() bool { return l.served.Load() >= until || l.t.Failed() })
+}
+
+// inForce waits until a version is in force, and fails the test where that takes too long.
+func inForce(t *testing.T, what, ops string, want uint64, within time.Duration) {
+	t.Helper()
+	began := time.Now()
+	testfleet.Eventually(t, what, func() bool { return number(t, ops) >= want })
+	took := time.Since(began)
+	t.Logf("%s: version %d in force after %v", what, want, took.Round(time.Millisecond))
+	if took > within {
+		t.Errorf("%s: it took %v, want at most %v", what, took, within)
+	}
+}
+
+// A server that is cut off over 1,000 versions takes them over one after the other
+// as soon as the cut heals; one for whom the log no longer reaches back gets the
+// whole. Requests are served all the time.
+func TestFollowCutOff(t *testing.T) {
+	for name, c := range map[string]struct{ deltas, versions, snapshots int }{
+		"over a thousand versions": {0, 1000, 0}, "over the end of the log": {20, 60, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			origin := machine(t, "c1", "north", c.deltas)
+			l := newLine(t, origin)
+			l.publish(budget("teal", 50), offered("sum"))
+			link := linkTo(t, origin.Address)
+			p := followerProgram(t, controlText("north", "", 20_000, testfleet.ControlTarget{Address: link.Address, Region: "north"}))
+			if m := shown(t, p.Ops); m["version"] != "1" || m["origin"] != "publisher" || m["digest"] != l.digests[1] {
+				t.Fatalf("%v", m)
+			}
+			before := shown(t, p.Ops)
+			load := ask(t, p.Clients, "sum", "teal")
+			stop := l.watch(p.Ops)
+			link.Cut()
+			last := l.more(c.versions)
+			load.goesOn(20)
+			if n := number(t, p.Ops); n != 1 {
+				t.Errorf("version %d came through the cut", n)
+			}
+			if err := link.Heal(); err != nil {
+				t.Fatal(err)
+			}
+			inForce(t, name, p.Ops, last, healWithin)
+			load.goesOn(20)
+			load.stop()
+			stop()
+			m := shown(t, p.Ops)
+			if want := strconv.Itoa(c.snapshots); m["snapshots"] != addTo(t, before["snapshots"], c.snapshots) || m["refused"] != "-" || m["fork"] != "false" {
+				t.Errorf("%v, want %s more snapshots than %v", m, want, before)
+			}
+			if c.snapshots == 0 && m["applied"] != strconv.Itoa(c.versions) {
+				t.Errorf("%v", m)
+			}
+			p.Leave()
+		})
+	}
+}
+
+func addTo(t *testing.T, n string, more int) string {
+	t.Helper()
+	v, err := strconv.Atoi(n)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return strconv.Itoa(v + more)
+}
+
+// A region that is cut off serves on by the version it has; its own publisher and
+// its servers take over what was changed meanwhile as soon as the cut heals.
+func TestFollowRegionCutOff(t *testing.T) {
+	origin := machine(t, "c1", "north", 0)
+	l := newLine(t, origin)
+	l.publish(budget("teal", 50), offered("sum"))
+	up, across := linkTo(t, origin.Address), linkTo(t, origin.Address)
+	relay := machine(t, "c2", "south", 0, testfleet.ControlTarget{Address: up.Address, Region: "north"})
+	p := followerProgram(t, controlText("south", "", 20_000, testfleet.ControlTarget{Address: relay.Address, Region: "south"},
+		testfleet.ControlTarget{Address: across.Address, Region: "north"}))
+	if m := shown(t, p.Ops); m["publisher"] != relay.Address || m["version"] != "1" {
+		t.Fatalf("%v", m)
+	}
+	load := ask(t, p.Clients, "sum", "teal")
+	stop := l.watch(p.Ops)
+	for _, link := range []*faultnet.Link{up, across} { // silence, as a network that loses everything
+		link.Silence(faultnet.There)
+		link.Silence(faultnet.Back)
+	}
+	last := l.more(20)
+	testfleet.Eventually(t, "the age grows", func() bool {
+		age, _ := strconv.Atoi(shown(t, p.Ops)["age_ms"])
+		return age > 3_000
+	})
+	load.goesOn(20)
+	if n := number(t, p.Ops); n != 1 {
+		t.Errorf("version %d came through the cut", n)
+	}
+	for _, link := range []*faultnet.Link{up, across} {
+		if err := link.Heal(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	inForce(t, "the region is back", p.Ops, last, healWithin)
+	load.goesOn(20)
+	load.stop()
+	stop()
+	p.Leave()
+}
+
+// A publisher that answers nothing any more is left for another, and versions go on coming.
+func TestFollowMutePublisher(t *testing.T) {
+	origin := machine(t, "c1", "north", 0)
+	l := newLine(t, origin)
+	l.publish(budget("teal", 50), offered("sum"))
+	from := testfleet.ControlTarget{Address: origin.Address, Region: "north"}
+	relays := map[string]*testfleet.Control{}
+	var targets []testfleet.ControlTarget
+	for _, name := range []string{"c2", "c3"} {
+		r := machine(t, name, "north", 0, from)
+		relays[r.Address] = r
+		targets = append(targets, testfleet.ControlTarget{Address: r.Address, Region: "north"})
+	}
+	p := followerProgram(t, controlText("north", "", 20_000, targets...))
+	load := ask(t, p.Clients, "sum", "teal")
+	stop := l.watch(p.Ops)
+	was := shown(t, p.Ops)["publisher"]
+	mute := relays[was]
+	if mute == nil {
+		t.Fatalf("%q is followed", was)
+	}
+	if err := syscall.Kill(mute.PID(), syscall.SIGSTOP); err != nil {
+		t.Fatal(err)
+	}
+	last := l.more(3)
+	inForce(t, "a publisher is mute", p.Ops, last, healWithin)
+	if m := shown(t, p.Ops); m["publisher"] == was || m["snapshots"] != "1" {
+		t.Errorf("%v", m)
+	}
+	syscall.Kill(mute.PID(), syscall.SIGCONT) //nolint:errcheck // it is ended next
+	load.stop()
+	stop()
+	p.Leave()
+}
+
+// Without any publisher the server serves on by the version it has, and one that
+// starts anew does by the version in its folder, or without one by its file.
+func TestFollowNobody(t *testing.T) {
+	origin := machine(t, "c1", "north", 0)
+	l := newLine(t, origin)
+	l.publish(budget("teal", 50), offered("sum"))
+	to := testfleet.ControlTarget{Address: origin.Address, Region: "north"}
+	kept := followerProgram(t, controlText("north", filepath.Join(t.TempDir(), "versions"), 1_000, to))
+	bare := followerProgram(t, controlText("north", "", 1_000, to))
+	last := l.more(5)
+	for _, p := range []*testfleet.Program{kept, bare} {
+		inForce(t, "before", p.Ops, last, healWithin)
+	}
+	load := ask(t, kept.Clients, "sum", "teal")
+	origin.Kill()
+	testfleet.Eventually(t, "it is seen", func() bool { return shown(t, kept.Ops)["publisher"] == "-" })
+	load.goesOn(50)
+	load.stop()
+	if m := shown(t, kept.Ops); m["version"] != "6" || m["digest"] != l.digests[6] || m["origin"] != "publisher" {
+		t.Errorf("%v", m)
+	}
+	kept.Kill() // what is kept outlives a crash of the process
+	bare.Leave()
+	kept.Again()
+	bare.Again()
+	if m := shown(t, kept.Ops); m["version"] != "6" || m["digest"] != l.digests[6] || m["origin"] != "folder" || m["publisher"] != "-" {
+		t.Errorf("%v", m)
+	}
+	if m := shown(t, bare.Ops); m["version"] != "0" || m["origin"] != "none" {
+		t.Errorf("%v", m)
+	}
+	code := func(p *testfleet.Program, class, tenant string) byte {
+		c := standin.Dial(t, p.Clients)
+		defer c.Conn.Close()
+		c.Send(1, standin.Fields(class, tenant, "", 1, 4*time.Second), "1000")
+		got, _ := c.Next()
+		return got.Code
+	}
+	if got := code(kept, "sum", "teal"); got != frame.Served {
+		t.Errorf("by the folder: code %d", got)
+	}
+	if got := code(bare, "look", "red"); got != frame.Served {
+		t.Errorf("by the file: code %d", got)
+	}
+	if got := code(bare, "sum", "teal"); got == frame.Served {
+		t.Error("a class that the file has not is served")
+	}
+	// The publisher is back: both are on the version.
+	if err := origin.Again(); err != nil {
+		t.Fatal(err)
+	}
+	last = l.more(1)
+	for _, p := range []*testfleet.Program{kept, bare} {
+		inForce(t, "the publisher is back", p.Ops, last, healWithin)
+		if got := code(p, "sum", "teal"); got != frame.Served {
+			t.Errorf("code %d", got)
+		}
+		p.Leave()
+	}
+}
+
+// A team that a version drops: what it has open ends as usual, what comes after is refused.
+func TestFollowDroppedTeam(t *testing.T) {
+	origin := machine(t, "c1", "north", 0)
+	l := newLine(t, origin)
+	l.publish(budget("teal", 50), budget("lime", 50), offered("sum"))
+	p := followerProgram(t, controlText("north", "", 20_000, testfleet.ControlTarget{Address: origin.Address, Region: "north"}))
+	c := standin.Dial(t, p.Clients)
+	const open = 8
+	for i := range uint32(open) {
+		c.Send(i+1, standin.Fields("sum", "teal", "", uint64(i+1), 4*time.Second), "1000000")
+	}
+	testfleet.Eventually(t, "they run", func() bool {
+		return strings.Contains(standin.Ask(t, p.Ops, "show-stat"), fmt.Sprintf("app.active:%d|g", open))
+	})
+	last := l.publish(document.Change{Drop: true, Team: &document.Team{Name: "teal"}})
+	inForce(t, "the team is dropped", p.Ops, last, healWithin)
+	late := standin.Dial(t, p.Clients)
+	late.Send(1, standin.Fields("sum", "teal", "", 100, 4*time.Second), "1000")
+	if got, _ := late.Next(); got.Type != frame.Answer || got.Code == frame.Served {
+		t.Errorf("after the drop: %+v", got)
+	}
+	late.Send(2, standin.Fields("sum", "lime", "", 101, 4*time.Second), "1000")
+	if got, _ := late.Next(); got.Code != frame.Served {
+		t.Errorf("another team: %+v", got)
+	}
+	for range open {
+		if got, ok := c.Next(); !ok || got.Code != frame.Served {
+			t.Errorf("what was open: %+v", got)
+		}
+	}
+	p.Leave()
+}
+
+// busy publishes all the time until it is stopped.
+func (l *line) busy() (stop func() uint64) {
+	done, ended := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(ended)
+		for {
+			select {
+			case <-done:
+				return
+			default:
+				l.more(1)
+			}
+		}
+	}()
+	var once sync.Once
+	stop = func() uint64 { once.Do(func() { close(done); <-ended }); return l.last }
+	l.t.Cleanup(func() { stop() })
+	return stop
+}
+
+// Versions come in the moment of SIGHUP and of SIGTERM: no request is lost, the
+// file's machine part is taken over, and after the notice to leave nothing is.
+func TestFollowSignals(t *testing.T) {
+	origin := machine(t, "c1", "north", 0)
+	l := newLine(t, origin)
+	l.publish(budget("teal", 50), offered("sum"))
+	engine, err := box.Serve(box.Spec{Cores: 64})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(engine.Close)
+	p := testfleet.Start(t, testfleet.Spec{Path: os.Args[0], Env: []string{asServer + "=1"}, Name: "n0",
+		Operator: controlText("north", t.TempDir(), 20_000, testfleet.ControlTarget{Address: origin.Address, Region: "north"}),
+		Config:   followerConfig(engine.Address)})
+	load := ask(t, p.Clients, "sum", "teal")
+	watch := l.watch(p.Ops)
+	stop := l.busy()
+	for i := range 10 {
+		next := followerConfig(engine.Address)
+		next["stop_ms"] = 2000 + 10*i
+		p.Reload(next)
+		testfleet.Eventually(t, "the file is taken over", func() bool {
+			return strings.Contains(standin.Ask(t, p.Ops, "show-stat"), fmt.Sprintf("app.config_applied:%d|c", i+1))
+		})
+	}
+	at := number(t, p.Ops)
+	testfleet.Eventually(t, "versions go on", func() bool { return number(t, p.Ops) > at+5 })
+	load.goesOn(20)
+	if m := shown(t, p.Ops); m["refused"] != "-" || m["origin"] != "publisher" {
+		t.Errorf("%v", m)
+	}
+	watch()
+	p.Signal(syscall.SIGTERM)
+	testfleet.Eventually(t, "it says that it leaves", func() bool { return leaving(t, l, "n0") })
+	load.stop()
+	p.Leave()
+	if last := stop(); last < 10 {
+		t.Errorf("%d versions", last)
+	}
+}
+
+// leaving says whether the originator knows that a server leaves.
+func leaving(t *testing.T, l *line, name string) bool {
+	t.Helper()
+	ctx, end := context.WithTimeout(context.Background(), 20*time.Second)
+	defer end()
+	lines, err := l.client.Followers(ctx, false)
+	if err != nil {
+		t.Error(err)
+	}
+	for _, f := range lines {
+		if f.Name == name && f.Leaving {
+			return true
+		}
+	}
+	return false
+}
+
+// Versions come while one process takes the place of another: both follow, no
+// request is lost, and the one that stays is on the newest.
+func TestFollowUpgrade(t *testing.T) {
+	origin := machine(t, "c1", "north", 0)
+	l := newLine(t, origin)
+	l.publish(budget("teal", 50), offered("sum"))
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	clients, dir, folder := listener.(*net.TCPListener), t.TempDir(), t.TempDir()
+	operator := filepath.Join(t.TempDir(), "operator.toml")
+	text := controlText("north", folder, 5_000, testfleet.ControlTarget{Address: origin.Address, Region: "north"})
+	if err := os.WriteFile(operator, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	t.Setenv("KITESLIP_OPERATOR", operator)
+	stop := l.busy()
+	first := launch(t, clients, dir)
+	load := ask(t, first.clients, "sum", "teal")
+	load.goesOn(20)
+	second := launch(t, clients, dir)
+	at := number(t, second.ops)
+	if at == 0 {
+		t.Error("the second process starts by no version")
+	}
+	testfleet.Eventually(t, "both follow", func() bool { return number(t, first.ops) > at && number(t, second.ops) > at })
+	if err := first.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	load.goesOn(50)
+	if err := first.Wait(); err != nil {
+		t.Errorf("the first process ends with %v", err)
+	}
+	load.goesOn(50)
+	load.stop()
+	last := stop()
+	inForce(t, "the second process", second.ops, last, healWithin)
+	if m := shown(t, second.ops); m["digest"] != l.digests[last] || m["refused"] != "-" {
+		t.Errorf("%v", m)
+	}
+	// The folder is the second process's by now, and has the version after it.
+	if err := second.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if err := second.Wait(); err != nil {
+		t.Errorf("the second process ends with %v", err)
+	}
+	origin.Kill()
+	third := launch(t, clients, dir)
+	if m := shown(t, third.ops); m["digest"] != l.digests[last] || m["origin"] != "folder" {
+		t.Errorf("%v, want version %d", m, last)
+	}
+}
+
+// A notice to leave that comes while a start waits for a publisher ends the wait.
+func TestFollowNoticeAtTheStart(t *testing.T) {
+	mute, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer mute.Close()
+	asked := make(chan struct{})
+	go func() {
+		if c, err := mute.Accept(); err == nil {
+			close(asked)
+			defer c.Close()
+			<-t.Context().Done()
+		}
+	}()
+	file := writeConfig(t)
+	operator := filepath.Join(t.TempDir(), "operator.toml")
+	text := controlText("north", "", 60_000, testfleet.ControlTarget{Address: mute.Addr().String(), Region: "north"})
+	if err := os.WriteFile(operator, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	t.Setenv(config.EnvConfig, file)
+	end := make(chan error, 1)
+	serve := serveCmd{operatorFlag: operatorFlag{operator}, LogLevel: "error"}
+	go func() { end <- serve.Run() }()
+	<-asked
+	if err := syscall.Kill(os.Getpid(), syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case err := <-end:
+		if err != nil {
+			t.Error(err)
+		}
+	case <-time.After(20 * time.Second):
+		t.Error("it waits on")
+	}
+}
+
+// Without [control] the door says so, and nothing follows.
+func TestFollowOff(t *testing.T) {
+	p := followerProgram(t, "")
+	if got := standin.Ask(t, p.Ops, "show-version"); !strings.HasPrefix(got, "error no [control]") {
+		t.Errorf("%q", got)
+	}
+	if got := standin.Ask(t, p.Ops, "show-stat"); strings.Contains(got, "control.") {
+		t.Errorf("%s", got)
+	}
+	p.Leave()
+}
