A disk that hangs holds up no version; the follower's tests by concern

A write to the folder is waited for 0.3 s, then the version is acknowledged; while the disk hangs the newest version alone is remembered, and kept when it goes on. Tests moved, none changed.

--- a/internal/control/follow/follower.go
+++ b/internal/control/follow/follower.go
@@ -21,7 +21,7 @@
 	log   *zap.Logger
 	began time.Time
 	seek  *seeker
-	keep  keeper
+	keep  shelf
 	count traffic
 
 	// What the goroutine of First and Run has.
@@ -63,7 +63,7 @@
 		set.Log = zap.NewNop()
 	}
 	f := &Follower{set: set, log: set.Log, began: time.Now(), seek: newSeeker(&set),
-		keep: keeper{folder: set.Folder, log: set.Log}, inForce: document.Empty(), timer: time.NewTimer(time.Hour)}
+		keep: shelf{keeper: keeper{folder: set.Folder, log: set.Log}}, inForce: document.Empty(), timer: time.NewTimer(time.Hour)}
 	f.heard, f.unsure = f.began, true
 	f.state.Origin = FromNone
 	kept, at := f.keep.load()
--- /dev/null
+++ b/internal/control/follow/take_test.go
@@ -0,0 +1,301 @@
+package follow
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"kiteslip/internal/control/document"
+	"kiteslip/internal/control/protocol"
+)
+
+func wantAck(t *testing.T, a protocol.Ack, doc *document.Document) {
+	t.Helper()
+	if a.Number != doc.Header().Number || a.Digest != doc.Digest() || a.Refused != "" || a.Fork {
+		t.Errorf("ack %+v, want version %d", a, doc.Header().Number)
+	}
+}
+
+// Deltas come one after the other, the first on nothing whole; each is
+// acknowledged, and the last word is that the server leaves.
+func TestDeltas(t *testing.T) {
+	p := newFake(t)
+	docs, deltas := chain(t, 4)
+	f := follows(t, settings(p))
+	s := p.stream()
+	if h := s.hello; h.Name != "server-1" || h.Region != "north" || h.Number != 0 || h.Digest != (document.Digest{}) || h.Publisher {
+		t.Errorf("%+v", h)
+	}
+	s.beat(docs[4], 0)
+	for i := 1; i <= 4; i++ {
+		s.delta(deltas[i])
+		wantAck(t, s.ack(), docs[i])
+	}
+	for i, k := range f.server.all {
+		if (k.delta == nil) != (i == 0) || k.doc.Digest() != docs[i+1].Digest() {
+			t.Errorf("%d: %+v", i, k)
+		}
+	}
+	s.beat(docs[4], 100*time.Millisecond)
+	eventually(t, "the state", func() bool {
+		st := f.State()
+		return st.Number == 4 && st.Digest == docs[4].Digest() && st.Origin == FromPublisher && st.Publisher == p.address && st.Lag == 0 &&
+			st.Applied == 4 && st.Switches == 1 && st.Sent > 0 && st.Received > 0 && st.Refused == "" && st.Unheard < patience
+	})
+	f.stop()
+	if a := s.ack(); !a.Leaving || a.Number != 4 {
+		t.Errorf("the last word is %+v", a)
+	}
+	s.left()
+	if st := f.State(); st.Publisher != "" || st.Number != 4 {
+		t.Errorf("%+v", st)
+	}
+}
+
+// A snapshot is taken over whole, and deltas follow on it; an older one is passed over.
+func TestSnapshot(t *testing.T) {
+	p := newFake(t)
+	docs, deltas := chain(t, 4)
+	f := follows(t, settings(p))
+	s := p.stream()
+	s.snapshot(docs[3])
+	wantAck(t, s.ack(), docs[3])
+	s.snapshot(docs[2])
+	s.snapshot(docs[3])
+	s.delta(deltas[2])
+	s.delta(deltas[4])
+	wantAck(t, s.ack(), docs[4])
+	if n := len(f.server.all); n != 2 || f.State().Snapshots != 1 {
+		t.Errorf("%d versions, %+v", n, f.State())
+	}
+}
+
+// A version that the server refuses is told once, and the one before stays; the
+// next comes whole and is taken over, also over a new stream, where the refused
+// one is sent again.
+func TestRefused(t *testing.T) {
+	p := newFake(t)
+	docs, deltas := chain(t, 6)
+	f := follows(t, settings(p))
+	f.server.mu.Lock()
+	f.server.refuse[2], f.server.refuse[3], f.server.refuse[5] = errNoGood, errNoGood, errNoGood
+	f.server.mu.Unlock()
+	s := p.stream()
+	s.delta(deltas[1])
+	wantAck(t, s.ack(), docs[1])
+	for i := 2; i <= 3; i++ {
+		s.delta(deltas[i])
+		if a := s.ack(); a.Number != 1 || a.Digest != docs[1].Digest() || a.Refused != errNoGood.Error() {
+			t.Errorf("%+v", a)
+		}
+	}
+	if st := f.State(); st.Number != 1 || st.Refused != errNoGood.Error() || st.Lag == 0 {
+		t.Errorf("%+v", st)
+	}
+	s.beat(docs[3], 0)
+	s.delta(deltas[4])
+	wantAck(t, s.ack(), docs[4])
+	if st := f.State(); st.Refused != "" || st.Lag != 0 {
+		t.Errorf("%+v", st)
+	}
+	s.delta(deltas[5])
+	if a := s.ack(); a.Number != 4 || a.Refused == "" {
+		t.Errorf("%+v", a)
+	}
+	s.end()
+	s = p.stream()
+	if s.hello.Number != 4 {
+		t.Errorf("%+v", s.hello)
+	}
+	s.delta(deltas[5])
+	if a := s.ack(); a.Number != 4 || a.Refused == "" {
+		t.Errorf("%+v", a)
+	}
+	s.snapshot(docs[5])
+	s.delta(deltas[6])
+	wantAck(t, s.ack(), docs[6])
+	whole := []bool{true, false, true, true, false, true}
+	for i, k := range f.server.all {
+		if k.doc.Header().Number != uint64(i+1) || (k.delta == nil) != whole[i] {
+			t.Errorf("%d: version %d, delta %v", i, k.doc.Header().Number, k.delta != nil)
+		}
+	}
+	if n := len(f.server.all); n != len(whole) {
+		t.Errorf("%d versions were tried", n)
+	}
+}
+
+// Another version with our number is never taken over, however it comes; it is
+// shouted about, told to the publisher, and what comes after is followed.
+func TestFork(t *testing.T) {
+	docs, deltas := chain(t, 3)
+	other, otherDelta := step(t, docs[1], "elsewhere", 9)
+	after, afterDelta := step(t, other, "elsewhere", 10)
+	for name, say := range map[string]func(s *fakeStream){
+		"beat":     func(s *fakeStream) { s.beat(other, 0) },
+		"delta":    func(s *fakeStream) { s.delta(otherDelta) },
+		"snapshot": func(s *fakeStream) { s.snapshot(other) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newFake(t)
+			f := follows(t, settings(p))
+			s := p.stream()
+			s.snapshot(docs[1])
+			s.delta(deltas[2])
+			s.ack()
+			wantAck(t, s.ack(), docs[2])
+			for range 3 {
+				say(s)
+			}
+			if a := s.ack(); !a.Fork || a.Number != 2 || a.Digest != docs[2].Digest() {
+				t.Errorf("%+v", a)
+			}
+			if st := f.State(); !st.Fork || st.Number != 2 || st.Publisher == "" {
+				t.Errorf("%+v", st)
+			}
+			s.delta(deltas[3])
+			wantAck(t, s.ack(), docs[3])
+			if f.State().Fork || f.said("FORK") != 1 || len(f.server.all) != 3 {
+				t.Errorf("%+v, shouted %d times, %d versions", f.State(), f.said("FORK"), len(f.server.all))
+			}
+		})
+	}
+	// The other line goes on: its delta has another parent, what lies between is
+	// asked for, and it is the publisher that knows of the fork.
+	t.Run("the other line", func(t *testing.T) {
+		p := newFake(t)
+		f := follows(t, settings(p))
+		s := p.stream()
+		s.snapshot(docs[2])
+		s.ack()
+		s.delta(afterDelta)
+		s.left()
+		s = p.stream()
+		if s.hello.Number != 2 || s.hello.Digest != docs[2].Digest() {
+			t.Errorf("%+v", s.hello)
+		}
+		for range 3 { // as to any whose version it takes for one of two
+			s.beat(after, 0)
+		}
+		if a := s.ack(); !a.Fork || a.Number != 2 {
+			t.Errorf("%+v", a)
+		}
+		if n := len(f.server.all); n != 1 || !f.State().Fork || f.State().Lag == 0 {
+			t.Errorf("%d versions, %+v", n, f.State())
+		}
+	})
+}
+
+// A wrong digest is refused and shouted about, and another publisher is turned to.
+func TestWrongDigest(t *testing.T) {
+	docs, deltas := chain(t, 3)
+	bad := *deltas[3]
+	bad.Header.Content[0]++
+	forged := encode(t, &bad) // its header is sound in itself and names a content that is not the one
+	broken := encode(t, deltas[3])
+	broken[len(broken)-1] ^= 1
+	whole, err := docs[3].Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	whole[len(whole)-1] ^= 1
+	for name, record := range map[string]protocol.FromPublisher{
+		"of the content": {Delta: forged}, "of a delta": {Delta: broken}, "of a snapshot": {Snapshot: whole},
+		"two parts": {Delta: encode(t, deltas[3]), Beat: &protocol.Beat{}}, "no part": {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a, b := newFake(t), newFake(t)
+			set := settings(a, b)
+			ranked := prefer(&set, a, b)
+			f := follows(t, set)
+			s := ranked[0].stream()
+			s.snapshot(docs[2])
+			wantAck(t, s.ack(), docs[2])
+			s.send(record)
+			if a := s.ack(); a.Number != 2 || a.Refused == "" {
+				t.Errorf("%+v", a)
+			}
+			s.left()
+			s = ranked[1].stream()
+			if s.hello.Number != 2 {
+				t.Errorf("%+v", s.hello)
+			}
+			if f.said("what came is refused") != 1 || f.State().Refused == "" {
+				t.Errorf("%+v", f.State())
+			}
+			s.delta(deltas[3])
+			wantAck(t, s.ack(), docs[3])
+			if st := f.State(); st.Refused != "" || st.Switches != 2 {
+				t.Errorf("%+v", st)
+			}
+			ranked[0].none()
+		})
+	}
+}
+
+// A delta on another parent: what lies between is asked for at once; where the
+// same comes again, of another publisher.
+func TestGap(t *testing.T) {
+	docs, deltas := chain(t, 5)
+	a, b := newFake(t), newFake(t)
+	set := settings(a, b)
+	ranked := prefer(&set, a, b)
+	f := follows(t, set)
+	s := ranked[0].stream()
+	s.snapshot(docs[1])
+	wantAck(t, s.ack(), docs[1])
+	s.delta(deltas[3])
+	s.left()
+	s = ranked[0].stream()
+	if s.hello.Number != 1 || s.hello.Digest != docs[1].Digest() {
+		t.Errorf("%+v", s.hello)
+	}
+	s.delta(deltas[2])
+	wantAck(t, s.ack(), docs[2])
+	s.delta(deltas[4])
+	s.left()
+	s = ranked[0].stream()
+	s.delta(deltas[5])
+	s.left()
+	s = ranked[1].stream()
+	s.snapshot(docs[4])
+	wantAck(t, s.ack(), docs[4])
+	if len(f.server.all) != 3 {
+		t.Errorf("%d versions", len(f.server.all))
+	}
+}
+
+// A server that takes long over a version does not take its publisher for silent,
+// and nothing is lost meanwhile.
+func TestSlowServer(t *testing.T) {
+	docs, deltas := chain(t, 300)
+	p := newFake(t)
+	f := newFollowing(t, settings(p))
+	hold := make(chan struct{})
+	apply := f.server.apply
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		f.Run(ctx, func(ctx context.Context, doc *document.Document, d *document.Delta) error {
+			<-hold
+			return apply(ctx, doc, d)
+		})
+	}()
+	defer func() { cancel(); <-ended }()
+	s := p.stream()
+	for i := 1; i <= 300; i++ {
+		s.delta(deltas[i])
+	}
+	time.Sleep(protocol.SilentMost + 200*time.Millisecond) // longer than a silence may last: what is shown is that it is none
+	close(hold)
+	for a := s.ack(); a.Number < 300; a = s.ack() {
+		if a.Refused != "" || a.Fork {
+			t.Fatalf("%+v", a)
+		}
+	}
+	p.none()
+	if st := f.State(); st.Number != 300 || st.Digest != docs[300].Digest() || st.Switches != 1 {
+		t.Errorf("%+v", st)
+	}
+}
