--- /dev/null
+++ b/internal/control/publish/load_test.go
@@ -0,0 +1,227 @@
+package publish
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"kiteslip/internal/control/document"
+	"kiteslip/internal/control/protocol"
+	"kiteslip/internal/faultnet"
+)
+
+// many are changes of n teams with names that do not compress.
+func many(rng *rand.Rand, n int) []document.Change {
+	list := make([]document.Change, n)
+	for i := range list {
+		list[i] = team(fmt.Sprintf("%016x%016x%016x%016x", rng.Uint64(), rng.Uint64(), rng.Uint64(), rng.Uint64()), 1+rng.Float64())
+	}
+	return list
+}
+
+func heap() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// Followers that take nothing hold up nobody and make nothing grow: all versions
+// reach the others meanwhile, and those that are stuck are cut off.
+func TestStuckFollowers(t *testing.T) {
+	const stuck, versions, teams, bytes = 8, 40, 4000, 1 << 20
+	m := serve(t, Settings{Bytes: bytes})
+	rng := rand.New(rand.NewPCG(1, 1))
+	m.must(t, many(rng, 1)...)
+	good := hello(t, m.Address, protocol.Hello{Name: "good"})
+	doc, _, _ := good.reach(document.Empty(), 1)
+	link, err := faultnet.New(m.Address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(link.Close)
+	for i := range stuck {
+		hello(t, link.Address, protocol.Hello{Name: fmt.Sprint("stuck", i), Number: 1, Digest: doc.Digest()}).beat()
+	}
+	link.Silence(faultnet.Back)
+	before, sent := heap(), 0
+	var longest time.Duration
+	for n := uint64(2); n < 2+versions; n++ {
+		changes := many(rng, teams)
+		if n%2 == 1 { // it does not grow without end itself
+			changes = nil
+			for _, e := range doc.Content().Teams {
+				changes = append(changes, document.Change{Drop: true, Team: &document.Team{Name: e.Name}})
+			}
+		}
+		m.must(t, changes...)
+		began := time.Now()
+		doc, _, _ = good.reach(doc, n)
+		longest = max(longest, time.Since(began))
+		sent += len(m.versions.entries[len(m.versions.entries)-1].record)
+	}
+	after := heap()
+	t.Logf("%d bytes of versions; the good one waits %v at most; the heap grows by %d KB", sent, longest, (int64(after)-int64(before))/1024)
+	if sent < 4*bytes {
+		t.Errorf("%d bytes of versions: too few to show anything", sent)
+	}
+	if grown := int64(after) - int64(before); grown > bytes+6<<20 {
+		t.Errorf("the heap grows by %d KB", grown/1024)
+	}
+	if doc.Digest() != m.Document().Digest() {
+		t.Error("the good one is on another version")
+	}
+	eventually(t, "those that are stuck are cut off", func() bool { n, _ := m.book.counts(); return n == 1 })
+	if lines := lagging(t, m); len(lines) != stuck || lines[0].Connected || lines[0].LagMS == 0 {
+		t.Errorf("%+v", lines)
+	}
+}
+
+// once opens the same bytes once for all who have them.
+type once struct {
+	mu      sync.Mutex
+	headers map[[32]byte]document.Header
+}
+
+func (o *once) header(text []byte) (document.Header, error) {
+	sum := sha256.Sum256(text)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	h, known := o.headers[sum]
+	if known {
+		return h, nil
+	}
+	doc, err := document.Open(text)
+	if err == nil {
+		h = doc.Header()
+		o.headers[sum] = h
+	}
+	return h, err
+}
+
+// hollow follows without applying, and notes how far it has come, until over.
+func hollow(t *testing.T, address string, at *protocol.Hello, latest *atomic.Uint64, opened *once, over <-chan struct{}) error {
+	p, err := dial(t, address)
+	if err != nil {
+		return err
+	}
+	defer p.close()
+	stop := make(chan struct{})
+	defer close(stop)
+	go func() {
+		select {
+		case <-over:
+			p.close()
+		case <-stop:
+		}
+	}()
+	p.say(protocol.FromFollower{Hello: at})
+	for {
+		r, err := p.version()
+		select {
+		case <-over:
+			return nil
+		default:
+		}
+		if err != nil {
+			return err
+		}
+		if (r.Snapshot != nil) != (at.Number == 0) {
+			t.Errorf("%s on version %d: a snapshot of %d bytes", at.Name, at.Number, len(r.Snapshot))
+		}
+		if r.Snapshot != nil {
+			header, err := opened.header(r.Snapshot)
+			if err != nil {
+				t.Errorf("%s: %v", at.Name, err)
+				return nil
+			}
+			at.Number, at.Digest = header.Number, header.Digest()
+		} else {
+			delta, err := document.DecodeDelta(r.Delta)
+			if err != nil || delta.Header.Parent != at.Digest {
+				t.Errorf("%s on version %d: %v, parent %v", at.Name, at.Number, err, delta.Header.Parent)
+				return nil
+			}
+			at.Number, at.Digest = delta.Header.Number, delta.Header.Digest()
+		}
+		p.say(protocol.FromFollower{Ack: &protocol.Ack{Number: at.Number, Digest: at.Digest}})
+		latest.Store(at.Number)
+	}
+}
+
+// The whole fleet starts at once, each server with nothing: one snapshot is made
+// for all of them. Then all get each new version.
+func TestAllAtOnce(t *testing.T) {
+	const fleet, rounds = 470, 5
+	teams := 21_000
+	if raced {
+		teams = 1_000 // the bytes are not what is looked at for races
+	}
+	m := serve(t, Settings{})
+	var changes []document.Change
+	for i := range teams {
+		changes = append(changes, team(fmt.Sprintf("team-%05d", i), float64(1+i%97)))
+	}
+	m.must(t, changes...)
+	var latest [fleet]atomic.Uint64
+	var again atomic.Int64
+	var done sync.WaitGroup
+	opened := once{headers: map[[32]byte]document.Header{}}
+	over := make(chan struct{})
+	defer func() { close(over); done.Wait() }()
+	began := time.Now()
+	for i := range fleet {
+		done.Go(func() {
+			at := protocol.Hello{Name: fmt.Sprintf("s%03d", i), Region: "north"}
+			// One that is cut off on a machine that is very busy comes again, as a server does.
+			for ; !t.Failed(); again.Add(1) {
+				err := hollow(t, m.Address, &at, &latest[i], &opened, over)
+				if err == nil {
+					return
+				}
+				if again.Load() < 20 {
+					t.Logf("%s on version %d: %v", at.Name, at.Number, err)
+				}
+				time.Sleep(time.Duration(i) * time.Millisecond)
+			}
+		})
+	}
+	all := func(number uint64) func() bool {
+		return func() bool {
+			for i := range latest {
+				if latest[i].Load() < number {
+					return t.Failed()
+				}
+			}
+			return true
+		}
+	}
+	eventually(t, "all have the first version", all(1))
+	start := time.Since(began)
+	if m.versions.made != 1 {
+		t.Errorf("%d snapshots were made for %d followers", m.versions.made, fleet)
+	}
+	least, most := time.Hour, time.Duration(0)
+	for n := range rounds {
+		m.must(t, team("team-00007", float64(1000+n)))
+		began := time.Now()
+		eventually(t, "all have the next version", all(uint64(2+n)))
+		took := time.Since(began)
+		least, most = min(least, took), max(most, took)
+	}
+	eventually(t, "the machine knows that all are current", func() bool { return len(lagging(t, m)) == 0 })
+	if n, forks := m.book.counts(); forks != 0 || n > fleet {
+		t.Errorf("%d followers, %d forks", n, forks)
+	}
+	t.Logf("%d followers: whole after %v, a new version after %v to %v; %d streams opened again", fleet, start, least, most, again.Load())
+	// The quickest counts: other work on the machine is no fault of this one.
+	if least > 2*time.Second {
+		t.Errorf("no version of %d reached all within 2 s, the quickest took %v", rounds, least)
+	}
+}
--- a/internal/control/publish/log.go
+++ b/internal/control/publish/log.go
@@ -32,6 +32,7 @@
 	entries []entry
 	bytes   int
 	whole   *snapshot
+	made    int           // snapshots begun
 	moved   chan struct{} // closed at the next version
 }
 
@@ -223,6 +224,7 @@
 			return s
 		}
 	}
+	v.made++
 	v.whole = &snapshot{doc: v.doc, number: head, digest: v.digest}
 	return v.whole
 }
--- /dev/null
+++ b/internal/control/publish/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package publish
+
+const raced = false
--- a/internal/control/publish/publish.go
+++ b/internal/control/publish/publish.go
@@ -50,7 +50,8 @@
 	keepFollowers = 10 * time.Minute // how long one that is gone is still told of
 	mostGone      = 4_096            // ... and how many of them
 	mostConns     = MostFollowers + 256
-	mostBodies    = 4 // bodies of versions read at once, each of protocol.MostMessage at most
+	mostWholes    = 64 // snapshots written at once: where all start together each is taken quickly, in its turn
+	mostBodies    = 4  // bodies of versions read at once, each of protocol.MostMessage at most
 )
 
 // The times that a Publisher keeps to, besides those of the protocol.
--- a/internal/control/publish/publisher.go
+++ b/internal/control/publish/publisher.go
@@ -27,6 +27,7 @@
 	book     *book
 	relay    *follow.Follower // nil = this machine originates
 	places   chan struct{}    // ... for streams
+	wholes   chan struct{}    // ... for snapshots that are written
 	bodies   chan struct{}    // ... for versions that are read
 	ending   context.Context  // ends when the machine leaves
 	end      context.CancelFunc
@@ -57,7 +58,8 @@
 		return nil, fmt.Errorf("%s: %w", set.Folder, err)
 	}
 	p := &Publisher{set: set, log: set.Log, store: s, book: newBook(),
-		places: make(chan struct{}, MostFollowers), bodies: make(chan struct{}, mostBodies),
+		places: make(chan struct{}, MostFollowers), wholes: make(chan struct{}, mostWholes),
+		bodies:      make(chan struct{}, mostBodies),
 		helloWithin: helloWithin, ackWithin: ackWithin}
 	p.ending, p.end = context.WithCancel(context.Background())
 	if err := p.restore(); err != nil {
@@ -65,7 +67,7 @@
 	}
 	if len(set.Follow) > 0 {
 		p.relay, err = follow.New(follow.Settings{Name: set.Name, Region: set.Region, Publishers: set.Follow,
-			Seed: set.Seed, Publisher: true, Log: set.Log})
+			Seed: set.Seed, Publisher: true, Have: p.Document(), Log: set.Log})
 		if err != nil {
 			return nil, errors.Join(err, s.close())
 		}
--- /dev/null
+++ b/internal/control/publish/relay_test.go
@@ -0,0 +1,153 @@
+package publish
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+
+	"kiteslip/internal/control/document"
+	"kiteslip/internal/control/protocol"
+	"kiteslip/internal/faultnet"
+)
+
+func (m *machine) on(number uint64) func() bool {
+	return func() bool { return m.Document().Header().Number >= number }
+}
+
+// Relays follow the originator, keep its log on disk, serve on without it, and say
+// how long it has not been heard. Versions are published there by nobody.
+func TestRelays(t *testing.T) {
+	a := serve(t, Settings{Name: "c0"})
+	a.versionsUpTo(t, 3)
+	folder := t.TempDir()
+	set := relayOf("c1", a.Address)
+	set.Folder = folder
+	b := serve(t, set)
+	eventually(t, "the relay is on 3", b.on(3))
+	server := hello(t, b.Address, protocol.Hello{Name: "s0", Region: "south"})
+	doc, _, _ := server.reach(document.Empty(), 3)
+	a.versionsUpTo(t, 8)
+	if doc, _, _ = server.reach(doc, 8); doc.Digest() != a.Document().Digest() {
+		t.Errorf("by the relay: %v, want %v", doc.Digest(), a.Document().Digest())
+	}
+	if _, err := b.Publish([]document.Change{team("x", 1)}, byTest, document.Digest{}); !errors.Is(err, ErrNotOriginator) {
+		t.Errorf("%v", err)
+	}
+	if _, err := b.Changes(within(t), []document.Change{team("x", 1)}, byTest, document.Digest{}); !errors.Is(err, ErrNotOriginator) || !strings.Contains(err.Error(), a.Address) {
+		t.Errorf("%v does not name %s", err, a.Address)
+	}
+	if lines, err := a.Followers(within(t), false); err != nil || len(lines) != 1 || lines[0].Name != "c1" || !lines[0].Publisher || lines[0].Number != 8 {
+		t.Errorf("%+v, %v", lines, err)
+	}
+	a.leave()
+	late := hello(t, b.Address, protocol.Hello{Name: "s1"})
+	for number := uint64(0); ; {
+		m, err := late.next()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if m.Snapshot != nil {
+			number = 8
+		}
+		if number == 8 && m.Beat != nil && m.Beat.Unheard >= protocol.OrphanMost.Milliseconds() {
+			break
+		}
+	}
+	b.leave()
+	c := serve(t, Settings{Name: "c1", Listen: b.set.Listen, Folder: folder}) // as the originator, from the relay's folder
+	if c.Document().Digest() != doc.Digest() {
+		t.Errorf("from the relay's folder: version %d", c.Document().Header().Number)
+	}
+	again := hello(t, c.Address, protocol.Hello{Name: "s0", Number: 8, Digest: doc.Digest()})
+	c.versionsUpTo(t, 9)
+	if _, snapshots, steps := again.reach(doc, 9); snapshots != 0 || steps != 1 {
+		t.Errorf("%d snapshots, %d deltas", snapshots, steps)
+	}
+}
+
+// A relay starts from its own folder: it asks for what it lacks alone.
+func TestRelayStartsFromItsFolder(t *testing.T) {
+	a := serve(t, Settings{Name: "c0", Deltas: 16})
+	a.versionsUpTo(t, 3)
+	set := relayOf("c1", a.Address)
+	set.Folder = t.TempDir()
+	for _, c := range []struct {
+		number    uint64
+		snapshots int
+	}{{3, 1}, {3, 0}, {10, 0}, {40, 1}, {41, 0}} {
+		a.versionsUpTo(t, c.number)
+		b := serve(t, set)
+		eventually(t, "the relay has caught up", b.on(c.number))
+		eventually(t, "its follower says so", func() bool { return b.relay.State().Number == c.number })
+		if got := b.relay.State().Snapshots; got != c.snapshots {
+			t.Errorf("version %d: %d snapshots, want %d", c.number, got, c.snapshots)
+		}
+		if got := b.versions.oldest(); c.number == 41 && got != 40 {
+			t.Errorf("after a snapshot its log reaches back to %d, want 40", got)
+		}
+		b.leave()
+	}
+}
+
+// Two relays that see each other and not the originator follow each other, make
+// nothing of it, and both tell truly how long the originator has not been heard.
+// When one sees it again both have what was published meanwhile.
+func TestRelaysWithoutTheOriginator(t *testing.T) {
+	a := serve(t, Settings{Name: "c0"})
+	a.versionsUpTo(t, 2)
+	var links []*faultnet.Link
+	for range 2 {
+		l, err := faultnet.New(a.Address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(l.Close)
+		links = append(links, l)
+	}
+	b1, b2 := freeAddress(t), freeAddress(t)
+	set1, set2 := relayOf("c1", links[0].Address, b2), relayOf("c2", links[1].Address, b1)
+	set1.Listen, set2.Listen = b1, b2
+	b, c := serve(t, set1), serve(t, set2)
+	eventually(t, "both are on 2", func() bool { return b.on(2)() && c.on(2)() })
+	links[0].Cut()
+	links[1].Cut()
+	a.versionsUpTo(t, 5)
+	const long = 2 * protocol.OrphanMost
+	eventually(t, "both tell that the originator was not heard", func() bool { return b.unheard() > long && c.unheard() > long })
+	if b.Document().Header().Number != 2 || c.Document().Header().Number != 2 {
+		t.Error("there are versions that nobody published")
+	}
+	if err := links[1].Heal(); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "both are on 5", func() bool { return b.on(5)() && c.on(5)() })
+	if b.Document().Digest() != a.Document().Digest() || c.Document().Digest() != a.Document().Digest() {
+		t.Error("not the same version 5")
+	}
+}
+
+// A relay whose disk fails serves on from memory and says so.
+func TestRelayWithoutDisk(t *testing.T) {
+	a := serve(t, Settings{Name: "c0"})
+	b := serve(t, relayOf("c1", a.Address))
+	a.versionsUpTo(t, 2)
+	eventually(t, "the relay is on 2", b.on(2))
+	b.store.fail(errors.New("no space left on device"))
+	a.versionsUpTo(t, 4)
+	eventually(t, "the relay is on 4", b.on(4))
+	if _, _, steps := hello(t, b.Address, protocol.Hello{Number: 2, Digest: a.at(t, 2).Digest()}).reach(a.at(t, 2), 4); steps != 2 {
+		t.Errorf("%d deltas", steps)
+	}
+	v, err := b.Version(context.Background())
+	if err != nil || !strings.Contains(v.Disk, "no space left") {
+		t.Errorf("%+v, %v", v, err)
+	}
+	if n := b.logs.FilterMessageSnippet("cannot be written").Len(); n != 1 {
+		t.Errorf("logged %d times", n)
+	}
+	if _, err := a.Publish([]document.Change{team("a", 1)}, byTest, document.Digest{}); err != nil {
+		t.Error(fmt.Errorf("the originator: %w", err))
+	}
+}
--- a/internal/control/publish/stream.go
+++ b/internal/control/publish/stream.go
@@ -175,7 +175,7 @@
 	for {
 		n := s.p.versions.after(number, digest, scratch)
 		if beat {
-			n.beat.Unheard = s.p.unheard().Milliseconds()
+			n.beat.Unheard = lagMS(s.p.unheard()) // rounded up: relays that follow each other do not keep it young
 			if err := s.beat(&n.beat); err != nil {
 				return err
 			}
@@ -189,10 +189,17 @@
 		switch {
 		case fork: // beats alone, for as long as it stays
 		case n.whole != nil:
-			if err = n.whole.make(); err == nil {
-				number, digest = n.whole.number, n.whole.digest
-				err = s.write(n.whole.record)
+			select {
+			case s.p.wholes <- struct{}{}:
+			case <-beats.C: // it hears us while it waits for its turn
+				beat = true
+				continue
+			case <-ctx.Done():
+				return context.Cause(ctx)
 			}
+			number, digest = n.whole.number, n.whole.digest
+			err = s.whole(n.whole)
+			<-s.p.wholes
 		default:
 			for i := range n.entries {
 				if err = s.write(n.entries[i].record); err != nil {
@@ -203,8 +210,8 @@
 		}
 		more := !fork && (n.whole != nil || len(n.entries) > 0)
 		if err == nil && more {
-			s.p.book.sent(s.m, number, time.Now())
 			err = s.flush()
+			s.p.book.sent(s.m, number, time.Now())
 		}
 		if err != nil {
 			return err
@@ -233,6 +240,18 @@
 	}
 }
 
+// whole writes a snapshot.
+func (s *stream) whole(w *snapshot) error {
+	err := w.make()
+	if err == nil {
+		err = s.write(w.record)
+	}
+	if err == nil {
+		err = s.flush()
+	}
+	return err
+}
+
 func (s *stream) beat(b *protocol.Beat) error {
 	text, err := cbor.Marshal(&protocol.FromPublisher{Beat: b})
 	if err == nil {
