--- /dev/null
+++ b/cmd/kiteslip/control_publish_test.go
@@ -0,0 +1,354 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"kiteslip/internal/control/document"
+	"kiteslip/internal/control/follow"
+	"kiteslip/internal/control/publish"
+	"kiteslip/internal/faultnet"
+	"kiteslip/internal/testfleet"
+)
+
+// applied is a real follower in the test's process that notes what it applies.
+type applied struct {
+	mu   sync.Mutex
+	list []document.Header
+	last document.Digest
+	bad  error
+}
+
+// following starts a follower until the test ends.
+func following(t *testing.T, name string, publishers ...follow.Publisher) *applied {
+	t.Helper()
+	f, err := follow.New(follow.Settings{Name: name, Region: "north", Publishers: publishers, Seed: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	a := &applied{}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		f.Run(ctx, a.apply)
+	}()
+	t.Cleanup(func() { cancel(); <-ended })
+	return a
+}
+
+// apply takes a version over; what comes out of order is the test's fault to show.
+func (a *applied) apply(_ context.Context, doc *document.Document, delta *document.Delta) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	h := doc.Header()
+	if n := len(a.list); n > 0 && (h.Number <= a.list[n-1].Number || delta != nil && (h.Number != a.list[n-1].Number+1 || h.Parent != a.last)) {
+		a.bad = errors.Join(a.bad, fmt.Errorf("version %d came after %d", h.Number, a.list[n-1].Number))
+	}
+	a.list, a.last = append(a.list, h), doc.Digest()
+	return nil
+}
+
+func (a *applied) on() (uint64, document.Digest) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if len(a.list) == 0 {
+		return 0, document.Digest{}
+	}
+	return a.list[len(a.list)-1].Number, a.last
+}
+
+// check judges what was applied: in order, and each the version that was accepted.
+func (a *applied) check(t *testing.T, name string, accepted map[uint64]document.Digest) {
+	t.Helper()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.bad != nil {
+		t.Errorf("%s: %v", name, a.bad)
+	}
+	for _, h := range a.list {
+		if want, known := accepted[h.Number]; known && want != h.Digest() {
+			t.Errorf("%s: version %d is %v, accepted was %v", name, h.Number, h.Digest(), want)
+		}
+	}
+}
+
+func oneTeam(name string, quota float64) []document.Change {
+	return []document.Change{{Team: &document.Team{Name: name, Quota: quota}}}
+}
+
+func soon(t *testing.T) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+var byTest = document.Meta{Author: "test", Reason: "a crossing"}
+
+// The originator is killed thirty times at any moment while versions are
+// published: what was accepted is there after the start, with the same digest, a
+// relay and two followers get it in order, and nobody ever has a version in part.
+func TestOriginatorKilledWhilePublishing(t *testing.T) {
+	a := machine(t, "c0", "north", 0)
+	b := machine(t, "c1", "north", 0, testfleet.ControlTarget{Address: a.Address, Region: "north"})
+	one := following(t, "s1", follow.Publisher{Address: a.Address, Region: "north"}, follow.Publisher{Address: b.Address, Region: "north"})
+	two := following(t, "s2", follow.Publisher{Address: b.Address, Region: "north"})
+	rng := rand.New(rand.NewPCG(7, 7))
+	client := &publish.Client{Address: a.Address}
+	accepted := map[uint64]document.Digest{} // by the answer alone
+	unsure := 0
+	for kill := range 30 {
+		dead := make(chan struct{})
+		var writer sync.WaitGroup
+		writer.Go(func() {
+			for n := 0; ; n++ {
+				changes := oneTeam(fmt.Sprint("t", n%20), float64(1+kill*1000+n))
+				for i := range 1 + n%3*100 { // some versions are large
+					changes = append(changes, oneTeam(fmt.Sprintf("bulk-%03d", i), float64(2+kill*1000+n))...)
+				}
+				h, err := client.Changes(soon(t), changes, byTest, document.Digest{})
+				if err != nil {
+					unsure++
+					return // it was killed: this one may be there or not
+				}
+				accepted[h.Number] = h.Digest()
+				select {
+				case <-dead:
+					return
+				default:
+				}
+			}
+		})
+		time.Sleep(time.Duration(rng.Int64N(int64(60 * time.Millisecond))))
+		a.Kill()
+		close(dead)
+		writer.Wait()
+		if err := a.Again(); err != nil {
+			t.Fatal(err)
+		}
+		v, err := client.Version(soon(t))
+		if err != nil {
+			t.Fatal(err)
+		}
+		last := uint64(0)
+		for n := range accepted {
+			last = max(last, n)
+		}
+		if v.Number < last || v.Number > last+1 {
+			t.Fatalf("kill %d: version %d after the start, accepted were %d", kill, v.Number, last)
+		}
+		digest, err := v.DigestOf()
+		if err != nil || v.Number == last && last > 0 && digest != accepted[last] {
+			t.Errorf("kill %d: version %d is %v, accepted was %v, %v", kill, v.Number, digest, accepted[last], err)
+		}
+		if v.Number > last {
+			accepted[v.Number] = digest // it was on disk, and is in force now
+		}
+	}
+	h, err := client.Changes(soon(t), oneTeam("end", 1), byTest, document.Digest{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	accepted[h.Number] = h.Digest()
+	for name, f := range map[string]*applied{"s1": one, "s2": two} {
+		testfleet.Eventually(t, name+" is on the last version", func() bool { n, d := f.on(); return n == h.Number && d == h.Digest() })
+		f.check(t, name, accepted)
+	}
+	// The log from its beginning, as one who was never there gets it.
+	v, err := (&publish.Client{Address: b.Address}).Version(soon(t))
+	if err != nil || v.Number != h.Number {
+		t.Errorf("the relay: %+v, %v", v, err)
+	}
+	if a.Logged("fork") || b.Logged("fork") || b.Logged("FORK") {
+		t.Error("a fork")
+	}
+	t.Logf("%d versions accepted, %d killed while one was published", len(accepted), unsure)
+}
+
+// A link ends halfway through what is sent, at many places: the follower has the
+// version before, then the whole one, never a part.
+func TestCutHalfwayThroughADelta(t *testing.T) {
+	a := machine(t, "c0", "north", 0)
+	link := linkTo(t, a.Address)
+	f := following(t, "s1", follow.Publisher{Address: link.Address, Region: "north"})
+	client := &publish.Client{Address: a.Address}
+	accepted := map[uint64]document.Digest{}
+	rng := rand.New(rand.NewPCG(3, 3))
+	for round := range 12 {
+		changes := oneTeam(fmt.Sprint("round-", round), 1)
+		for i := range 2000 {
+			changes = append(changes, oneTeam(fmt.Sprintf("%016x", rng.Uint64()), float64(i+1))...)
+		}
+		link.EndAfter(1 + rng.IntN(40_000)) // the version is larger
+		carried := link.Carried(faultnet.Back)
+		h, err := client.Changes(soon(t), changes, byTest, document.Digest{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		accepted[h.Number] = h.Digest()
+		testfleet.Eventually(t, "something of it has come", func() bool { return link.Carried(faultnet.Back) > carried })
+		if n, _ := f.on(); n > h.Number {
+			t.Errorf("on version %d of %d", n, h.Number)
+		}
+		if err := link.Heal(); err != nil {
+			t.Fatal(err)
+		}
+		testfleet.Eventually(t, "the whole version", func() bool { n, d := f.on(); return n == h.Number && d == h.Digest() })
+	}
+	f.check(t, "s1", accepted)
+}
+
+// The originator is killed in the moment in which it has accepted a version, before
+// anybody else has it: after the start all have it.
+func TestKilledBetweenAcceptAndSpread(t *testing.T) {
+	a := machine(t, "c0", "north", 0)
+	link := linkTo(t, a.Address)
+	b := machine(t, "c1", "south", 0, testfleet.ControlTarget{Address: link.Address, Region: "north"})
+	f := following(t, "s1", follow.Publisher{Address: b.Address, Region: "south"})
+	client := &publish.Client{Address: a.Address}
+	for round := range 5 {
+		link.Silence(faultnet.Back) // nothing spreads
+		h, err := client.Changes(soon(t), oneTeam("a", float64(round+1)), byTest, document.Digest{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		a.Kill()
+		if n, _ := f.on(); n >= h.Number {
+			t.Errorf("it spread: %d", n)
+		}
+		link.Break()
+		if err := link.Heal(); err != nil {
+			t.Fatal(err)
+		}
+		if err := a.Again(); err != nil {
+			t.Fatal(err)
+		}
+		testfleet.Eventually(t, "the version that was accepted", func() bool { n, d := f.on(); return n == h.Number && d == h.Digest() })
+	}
+}
+
+// A second originator that was started by mistake makes its own version of the
+// same number: its followers are refused nothing by it, those of the first stay
+// on theirs, and both sides shout.
+func TestTwoOriginatorsAreAFork(t *testing.T) {
+	a := machine(t, "c0", "north", 0)
+	link := linkTo(t, a.Address)
+	first := &publish.Client{Address: a.Address}
+	h1, err := first.Changes(soon(t), oneTeam("a", 1), byTest, document.Digest{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := following(t, "s1", follow.Publisher{Address: link.Address, Region: "north"})
+	testfleet.Eventually(t, "the first version", func() bool { n, d := f.on(); return n == 1 && d == h1.Digest() })
+	// Its folder is lost, it starts empty at its own address, and publishes.
+	a.Kill()
+	a.Folder = filepath.Join(t.TempDir(), "empty")
+	if err := a.Again(); err != nil {
+		t.Fatal(err)
+	}
+	for n := range 3 {
+		if _, err := first.Changes(soon(t), oneTeam("b", float64(n+1)), byTest, document.Digest{}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	testfleet.Eventually(t, "the publisher shouts", func() bool { return a.Logged("fork: a follower") })
+	testfleet.Eventually(t, "the page lists it", func() bool {
+		lines, err := first.Followers(soon(t), true)
+		return err == nil && len(lines) == 1 && lines[0].Fork && lines[0].Name == "s1" && lines[0].Number == 1
+	})
+	if n, d := f.on(); n != 1 || d != h1.Digest() {
+		t.Errorf("the follower went over to version %d", n)
+	}
+	var out strings.Builder
+	if err := (&controlStatus{At: []string{a.Address}, Lagging: true}).run(&out); err == nil || !strings.Contains(out.String(), "FORK") {
+		t.Errorf("%v:\n%s", err, &out)
+	}
+}
+
+// The commands: what an operator does, and what each refusal reads like.
+func TestControlCommands(t *testing.T) {
+	a := machine(t, "c0", "north", 16)
+	b := machine(t, "c1", "south", 16, testfleet.ControlTarget{Address: a.Address, Region: "north"})
+	file := filepath.Join(t.TempDir(), "operator.toml")
+	write := func(text string) {
+		t.Helper()
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	run := func(to, base string) (string, error) {
+		var out strings.Builder
+		err := (&controlPublish{File: file, To: to, Author: "ana", Reason: "more for red", Base: base}).run(&out)
+		return out.String(), err
+	}
+	want := func(what, out string, err error, texts ...string) {
+		t.Helper()
+		all := out + fmt.Sprint(err)
+		for _, text := range texts {
+			if !strings.Contains(all, text) {
+				t.Errorf("%s: %s does not say %q", what, all, text)
+			}
+		}
+	}
+	write("[[team]]\nname = \"red\"\nrequests_per_s = 5\n")
+	out, err := run(a.Address, "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	want("the first", out, err, "version 1 ", "is in force at "+a.Address)
+	out, err = run(a.Address, "")
+	want("the same", out, err, "nothing differs")
+	write("[[team]]\nname = \"red\"\nrequests_per_s = -5\n[[team]]\nname = \"blue\"\nrequests_per_s = -1\n")
+	out, err = run(a.Address, "")
+	want("two faults", out, err, "red", "blue")
+	write("[[team]]\nname = \"red\"\nrequests_per_s = 7\n")
+	out, err = run(b.Address, "")
+	want("at a relay", out, err, a.Address)
+	out, err = run(a.Address, "0123456789ab")
+	want("another base", out, err, "--base", "in force is version 1")
+	v, err := (&publish.Client{Address: a.Address}).Version(soon(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	out, err = run(a.Address, v.Digest[:12])
+	want("on its base", out, err, "version 2 ", v.Digest[:12])
+	testfleet.Eventually(t, "the relay has it", func() bool {
+		v, err := (&publish.Client{Address: b.Address}).Version(soon(t))
+		return err == nil && v.Number == 2
+	})
+	var text strings.Builder
+	testfleet.Eventually(t, "the relay is listed as current", func() bool {
+		text.Reset()
+		err = (&controlStatus{At: []string{a.Address, b.Address}}).run(&text)
+		return strings.Contains(text.String(), "connected, control machine") && strings.Contains(text.String(), " 0 ms")
+	})
+	want("the status", text.String(), err, "c0 in north at "+a.Address+": originates", "c1 in south at "+b.Address+": follows "+a.Address,
+		"by ana: more for red", "version 2 ")
+	b.Leave()
+	text.Reset()
+	err = (&controlStatus{At: []string{a.Address, b.Address}}).run(&text)
+	want("one that does not answer", text.String(), err, b.Address+" does not answer", "left ")
+	a.Leave()
+}
+
+// A file that is faulty keeps the machine from starting, and all keys are named.
+func TestControlServeNamesFaults(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "control.toml")
+	if err := os.WriteFile(file, []byte("name = \"\"\nlisten = \"x\"\nfolder = \"log\"\nwings = 2\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	err := (&controlServe{Config: file, LogLevel: "info"}).Run()
+	for _, key := range []string{"name ", "region ", "listen ", "folder ", "wings "} {
+		if err == nil || !strings.Contains(err.Error(), key) {
+			t.Errorf("%v does not name %s", err, key)
+		}
+	}
+}
