--- a/cmd/kiteslip/control_follow_test.go
+++ b/cmd/kiteslip/control_follow_test.go
@@ -1,23 +1,18 @@
 package main
 
 import (
-	"context"
-	"encoding/json"
 	"fmt"
 	"net"
 	"os"
 	"path/filepath"
 	"strconv"
 	"strings"
-	"sync"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
 	"kiteslip/internal/config"
 	"kiteslip/internal/control/document"
-	"kiteslip/internal/control/publish"
 	"kiteslip/internal/faultnet"
 	"kiteslip/internal/frame"
 	"kiteslip/internal/standin"
@@ -25,248 +20,6 @@
 	"kiteslip/internal/testfleet"
 )
 
-// healWithin is how soon a version is in force after a fault has healed.
-const healWithin = 6 * time.Second
-
-// machine starts a control machine; with others it follows them, the first of which originates.
-func machine(t *testing.T, name, region string, deltas int, follow ...testfleet.ControlTarget) *testfleet.Control {
-	t.Helper()
-	return testfleet.StartControl(t, testfleet.ControlSpec{Path: os.Args[0], Env: []string{asServer + "=1"}, Name: name, Region: region,
-		Deltas: deltas, Follow: follow})
-}
-
-// linkTo is a link to an address that can be struck.
-func linkTo(t *testing.T, address string) *faultnet.Link {
-	t.Helper()
-	l, err := faultnet.New(address)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(l.Close)
-	return l
-}
-
-// controlText is [control] of a server's file.
-func controlText(region, folder string, waitMS int, publishers ...testfleet.ControlTarget) string {
-	text := fmt.Sprintf("[control]\nregion = %q\nwait_ms = %d\n", region, waitMS)
-	if folder != "" {
-		text += fmt.Sprintf("folder = %q\n", folder)
-	}
-	for _, p := range publishers {
-		text += fmt.Sprintf("[[control.publisher]]\naddress = %q\nregion = %q\n", p.Address, p.Region)
-	}
-	return text
-}
-
-// followerProgram starts a server that follows, with an engine of its own.
-func followerProgram(t *testing.T, operator string) *testfleet.Program {
-	t.Helper()
-	engine, err := box.Serve(box.Spec{Cores: 64})
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(engine.Close)
-	return testfleet.Start(t, testfleet.Spec{Path: os.Args[0], Env: []string{asServer + "=1"}, Name: "n0", Operator: operator,
-		Config: followerConfig(engine.Address)})
-}
-
-func followerConfig(engine string) map[string]any {
-	return map[string]any{"engine": engine, "stop_ms": 3000, "settings": json.RawMessage(lookSite),
-		"limits": map[string]any{"cores": 1, "memory_mb": 96, "sockets": 256}}
-}
-
-// shown is what show-version tells, by its first words.
-func shown(t testing.TB, ops string) map[string]string {
-	t.Helper()
-	m := map[string]string{}
-	for _, line := range strings.Split(standin.Ask(t, ops, "show-version"), "\n") {
-		if key, value, ok := strings.Cut(line, " "); ok {
-			m[key] = value
-		}
-	}
-	return m
-}
-
-func number(t testing.TB, ops string) uint64 {
-	t.Helper()
-	n, err := strconv.ParseUint(shown(t, ops)["version"], 10, 64)
-	if err != nil {
-		t.Errorf("show-version: %v", err)
-	}
-	return n
-}
-
-// line publishes versions and knows them all.
-type line struct {
-	t       *testing.T
-	client  publish.Client
-	mu      sync.Mutex
-	digests map[uint64]string
-	last    uint64
-}
-
-func newLine(t *testing.T, originator *testfleet.Control) *line {
-	return &line{t: t, client: publish.Client{Address: originator.Address}, digests: map[uint64]string{}}
-}
-
-// publish makes one version.
-func (l *line) publish(changes ...document.Change) uint64 {
-	l.t.Helper()
-	ctx, end := context.WithTimeout(context.Background(), 20*time.Second)
-	defer end()
-	h, err := l.client.Changes(ctx, changes, document.Meta{Author: "anna", Reason: "a test"}, document.Digest{})
-	if err != nil {
-		l.t.Fatal(err)
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	d := h.Digest()
-	l.digests[h.Number], l.last = fmt.Sprintf("%x", d[:]), h.Number
-	return h.Number
-}
-
-// more makes n versions, each of which changes a team's budget.
-func (l *line) more(n int) uint64 {
-	l.t.Helper()
-	for range n {
-		l.publish(budget("teal", float64(10+l.last)))
-	}
-	return l.last
-}
-
-// watch looks at a server's version all the time: it is one of the line and
-// never goes back. stop ends it.
-func (l *line) watch(ops string) (stop func()) {
-	done, ended := make(chan struct{}), make(chan struct{})
-	go func() {
-		defer close(ended)
-		for before := uint64(0); ; time.Sleep(5 * time.Millisecond) {
-			select {
-			case <-done:
-				return
-			default:
-			}
-			c, err := net.Dial("tcp", ops)
-			if err != nil {
-				continue // it is between two lives
-			}
-			c.Close()
-			m := shown(l.t, ops)
-			n, err := strconv.ParseUint(m["version"], 10, 64)
-			if err != nil {
-				continue
-			}
-			l.mu.Lock()
-			want, known := l.digests[n]
-			l.mu.Unlock()
-			if n < before || known && m["digest"] != want {
-				l.t.Errorf("version %d %s after %d, want the digest %q", n, m["digest"], before, want)
-			}
-			before = n
-		}
-	}()
-	var once sync.Once
-	stop = func() { once.Do(func() { close(done); <-ended }) }
-	l.t.Cleanup(stop)
-	return stop
-}
-
-func budget(name string, quota float64) document.Change {
-	return document.Change{Team: &document.Team{Name: name, Quota: quota}}
-}
-
-func offered(name string) document.Change {
-	aim, deadline := 4000.0, 5000.0
-	return document.Change{Service: &document.Service{Name: name, Contracts: []document.Contract{
-		{Class: name, Effect: "repeatable", AimMS: &aim, DeadlineMS: &deadline}}}}
-}
-
-// traffic asks all the time: every request is answered, and served.
-type traffic struct {
-	t      *testing.T
-	served atomic.Int64
-	done   chan struct{}
-	ended  chan struct{}
-	once   sync.Once
-}
-
-func ask(t *testing.T, clients, class, tenant string) *traffic {
-	l := &traffic{t: t, done: make(chan struct{}), ended: make(chan struct{})}
-	go func() {
-		defer close(l.ended)
-		var c *standin.Caller
-		for name := uint64(1); ; name++ {
-			select {
-			case <-l.done:
-				if c != nil {
-					c.Conn.Close()
-				}
-				return
-			default:
-			}
-			if c == nil {
-				conn, err := net.Dial("tcp", clients)
-				if err != nil {
-					name--
-					time.Sleep(time.Millisecond)
-					continue // between two processes nobody may listen
-				}
-				conn.Close()
-				c = standin.Dial(t, clients)
-			}
-			c.Send(uint32(name), standin.Fields(class, tenant, "", name, 4*time.Second), "1000")
-			away := false
-			for {
-				got, ok := c.Next()
-				if !ok {
-					t.Errorf("request %d is lost", name)
-					c = nil
-					break
-				}
-				if got.Type == frame.GoAway {
-					away = true
-					continue
-				}
-				if got.Type == frame.Answer {
-					if got.Code == frame.Served {
-						l.served.Add(1)
-					} else if !away {
-						t.Errorf("request %d: code %d", name, got.Code)
-					}
-					break
-				}
-			}
-			if away && c != nil {
-				c.Conn.Close()
-				c = nil
-			}
-		}
-	}()
-	t.Cleanup(l.stop)
-	return l
-}
-
-func (l *traffic) stop() { l.once.Do(func() { close(l.done); <-l.ended }) }
-
-// goesOn waits until so many more are served.
-func (l *traffic) goesOn(n int64) {
-	l.t.Helper()
-	until := l.served.Load() + n
-	testfleet.Eventually(l.t, "requests are served", func() bool { return l.served.Load() >= until || l.t.Failed() })
-}
-
-// inForce waits until a version is in force, and fails the test where that takes too long.
-func inForce(t *testing.T, what, ops string, want uint64, within time.Duration) {
-	t.Helper()
-	began := time.Now()
-	testfleet.Eventually(t, what, func() bool { return number(t, ops) >= want })
-	took := time.Since(began)
-	t.Logf("%s: version %d in force after %v", what, want, took.Round(time.Millisecond))
-	if took > within {
-		t.Errorf("%s: it took %v, want at most %v", what, took, within)
-	}
-}
-
 // A server that is cut off over 1,000 versions takes them over one after the other
 // as soon as the cut heals; one for whom the log no longer reaches back gets the
 // whole. Requests are served all the time.
@@ -323,6 +76,19 @@
 // A region that is cut off serves on by the version it has; its own publisher and
 // its servers take over what was changed meanwhile as soon as the cut heals.
 func TestFollowRegionCutOff(t *testing.T) {
+	for name, cut := range map[string]func(*faultnet.Link){
+		"silence": func(l *faultnet.Link) { // as a network that loses everything
+			l.Silence(faultnet.There)
+			l.Silence(faultnet.Back)
+		},
+		"refusal": (*faultnet.Link).Cut,
+	} {
+		t.Run(name, func(t *testing.T) { regionCutOff(t, cut) })
+	}
+}
+
+func regionCutOff(t *testing.T, cut func(*faultnet.Link)) {
+	t.Helper()
 	origin := machine(t, "c1", "north", 0)
 	l := newLine(t, origin)
 	l.publish(budget("teal", 50), offered("sum"))
@@ -335,10 +101,8 @@
 	}
 	load := ask(t, p.Clients, "sum", "teal")
 	stop := l.watch(p.Ops)
-	for _, link := range []*faultnet.Link{up, across} { // silence, as a network that loses everything
-		link.Silence(faultnet.There)
-		link.Silence(faultnet.Back)
-	}
+	cut(up)
+	cut(across)
 	last := l.more(20)
 	testfleet.Eventually(t, "the age grows", func() bool {
 		age, _ := strconv.Atoi(shown(t, p.Ops)["age_ms"])
@@ -360,6 +124,33 @@
 	p.Leave()
 }
 
+// A publisher that has lost the originator is left for one that has not, while the
+// stream to it stands: versions are in force in time.
+func TestFollowOrphan(t *testing.T) {
+	origin := machine(t, "c1", "north", 0)
+	l := newLine(t, origin)
+	l.publish(budget("teal", 50), offered("sum"))
+	up := linkTo(t, origin.Address)
+	relay := machine(t, "c2", "south", 0, testfleet.ControlTarget{Address: up.Address, Region: "north"})
+	p := followerProgram(t, controlText("south", "", 20_000, testfleet.ControlTarget{Address: relay.Address, Region: "south"},
+		testfleet.ControlTarget{Address: origin.Address, Region: "north"}))
+	load := ask(t, p.Clients, "sum", "teal")
+	stop := l.watch(p.Ops)
+	if m := shown(t, p.Ops); m["publisher"] != relay.Address {
+		t.Fatalf("%v", m)
+	}
+	up.Silence(faultnet.There)
+	up.Silence(faultnet.Back)
+	last := l.more(3)
+	inForce(t, "the publisher has lost the originator", p.Ops, last, healWithin)
+	if m := shown(t, p.Ops); m["publisher"] != origin.Address || m["snapshots"] != "1" {
+		t.Errorf("%v", m)
+	}
+	load.stop()
+	stop()
+	p.Leave()
+}
+
 // A publisher that answers nothing any more is left for another, and versions go on coming.
 func TestFollowMutePublisher(t *testing.T) {
 	origin := machine(t, "c1", "north", 0)
@@ -489,26 +280,6 @@
 	p.Leave()
 }
 
-// busy publishes all the time until it is stopped.
-func (l *line) busy() (stop func() uint64) {
-	done, ended := make(chan struct{}), make(chan struct{})
-	go func() {
-		defer close(ended)
-		for {
-			select {
-			case <-done:
-				return
-			default:
-				l.more(1)
-			}
-		}
-	}()
-	var once sync.Once
-	stop = func() uint64 { once.Do(func() { close(done); <-ended }); return l.last }
-	l.t.Cleanup(func() { stop() })
-	return stop
-}
-
 // Versions come in the moment of SIGHUP and of SIGTERM: no request is lost, the
 // file's machine part is taken over, and after the notice to leave nothing is.
 func TestFollowSignals(t *testing.T) {
@@ -550,23 +321,6 @@
 	}
 }
 
-// leaving says whether the originator knows that a server leaves.
-func leaving(t *testing.T, l *line, name string) bool {
-	t.Helper()
-	ctx, end := context.WithTimeout(context.Background(), 20*time.Second)
-	defer end()
-	lines, err := l.client.Followers(ctx, false)
-	if err != nil {
-		t.Error(err)
-	}
-	for _, f := range lines {
-		if f.Name == name && f.Leaving {
-			return true
-		}
-	}
-	return false
-}
-
 // Versions come while one process takes the place of another: both follow, no
 // request is lost, and the one that stays is on the newest.
 func TestFollowUpgrade(t *testing.T) {
