Slopes: say how long the machine had no core for the measured server

The scheduler's own count now stands beside the figure, so that a disturbed run is known as such. The bound is judged all the same.

--- a/internal/lab/scale/slopes/latency.go
+++ b/internal/lab/scale/slopes/latency.go
@@ -18,7 +18,8 @@
 	p50, p99, worst     float64 // ms, end to end
 	direct50, direct99  float64 // ms, the same exchange without the server
 	cpuUS               float64 // processor time of the server for a request
-	core                float64 // ... as part of a core
+	waitedUS            float64 // for which it was ready and the machine had no core for it, for a request: a disturbance
+	core                float64 // the processor time as part of a core
 	rssKB               float64
 	descriptors         int
 	connections         int     // descriptors beyond those of a server without callers
@@ -68,7 +69,7 @@
 		late := c.take()
 		c.reset()
 		out.sentInWarm, out.lostAll = warm.sent+late.sent, warm.lost+warm.late+late.lost+late.late
-		before, err := p.cpu()
+		before, err := p.used()
 		if err != nil {
 			return err
 		}
@@ -80,7 +81,7 @@
 		c.ask(rate, span)
 		out.seen = c.take()
 		took := time.Since(began)
-		after, err := p.cpu()
+		after, err := p.used()
 		if err != nil {
 			return err
 		}
@@ -99,8 +100,10 @@
 		if out.seen.served == 0 {
 			return fmt.Errorf("slopes: none of %d requests of %d callers is served: %d refused, %d failed, %d lost", out.seen.sent, n, out.seen.refused, out.seen.failed, out.seen.lost)
 		}
-		out.core = float64(after-before) / float64(took)
-		out.cpuUS = float64((after - before).Microseconds()) / float64(out.seen.sent)
+		ran := after.ran - before.ran
+		out.core = float64(ran) / float64(took)
+		out.cpuUS = float64(ran.Microseconds()) / float64(out.seen.sent)
+		out.waitedUS = float64((after.waited - before.waited).Microseconds()) / float64(out.seen.sent)
 		out.p50, out.p99, out.worst = part(out.seen.times, 0.5), part(out.seen.times, 0.99), part(out.seen.times, 1)
 		out.direct50, out.direct99 = part(exchange, 0.5), part(exchange, 0.99)
 		return nil
@@ -153,9 +156,9 @@
 			for j, v := range []float64{p50, p99, o.core, o.rssKB, float64(o.connections)} {
 				slopes[i][j].Points = append(slopes[i][j].Points, figures.Point{Size: float64(n), Value: v, Raw: []float64{v}})
 			}
-			m.say("%4d callers at %3.0f/s: added p50 %.2f ms, p99 %.2f ms, worst %.2f ms (direct %.2f, %.2f); %.0f us of processor time a request; %d descriptors, %.0f KB; "+
+			m.say("%4d callers at %3.0f/s: added p50 %.2f ms, p99 %.2f ms, worst %.2f ms (direct %.2f, %.2f); %.0f us of processor time a request, and %.0f us without a core; %d descriptors, %.0f KB; "+
 				"%d sent, %d served, %d refused, %d failed, %d lost, %d late, %d sent again; %d opened, %d asked to close, %d closed by the server",
-				n, o.rate, p50, p99, o.worst, o.direct50, o.direct99, o.cpuUS, o.descriptors, o.rssKB,
+				n, o.rate, p50, p99, o.worst, o.direct50, o.direct99, o.cpuUS, o.waitedUS, o.descriptors, o.rssKB,
 				o.seen.sent, o.seen.served, o.seen.refused, o.seen.failed, o.seen.lost, o.seen.late, o.seen.again, o.seen.opened, o.seen.away, o.seen.ended)
 			m.want(o.lostAll == 0, "%d requests of %d callers at %.0f/s are lost or late", o.lostAll, n, o.rate)
 			m.want(o.descriptors <= m.target.Fleet.Descriptors+spareDescriptors, "%d descriptors are open, want %d at most", o.descriptors, m.target.Fleet.Descriptors)
@@ -186,6 +189,7 @@
 		m.figure(figures.Figure{Name: "requests lost or late, " + name, Role: figures.Fronts, When: when, Unit: "requests", Value: float64(o.lostAll), OK: o.lostAll == 0})
 		m.figure(figures.Figure{Name: "sent again by their callers, " + name, Role: figures.Caller, When: when, Unit: "requests", Value: float64(o.seen.again), OK: true})
 		m.figure(figures.Figure{Name: "resting connections ended by the server, " + name, Role: figures.Caller, When: when, Unit: "connections", Value: float64(o.seen.away + o.seen.ended), OK: true})
+		m.figure(figures.Figure{Name: "time for which the machine had no core for the server, by requests, " + name, Role: figures.Fronts, When: when, Unit: "us", Value: o.waitedUS, OK: true})
 		m.figure(figures.Figure{Name: "processor time of a request, " + name, Role: figures.Fronts, When: when, Unit: "us", Value: o.cpuUS, OK: true})
 	}
 	return nil
--- a/internal/lab/scale/slopes/process.go
+++ b/internal/lab/scale/slopes/process.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -160,28 +159,28 @@
 	return len(list), err
 }
 
-// cpu is the processor time that the process has used so far, as the scheduler
-// counts it.
-func (p *process) cpu() (time.Duration, error) { return cpuOf(p.cmd.Process.Pid) }
+// used is what the system's scheduler counts for a process since its start: the
+// time that it ran, and the time that it was ready to and had no core.
+type used struct{ ran, waited time.Duration }
 
-func cpuOf(pid int) (time.Duration, error) {
+func (p *process) used() (u used, err error) {
+	pid := p.cmd.Process.Pid
 	tasks, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", pid))
 	if err != nil || len(tasks) == 0 {
-		return 0, fmt.Errorf("slopes: the system does not tell the time of process %d", pid)
+		return u, fmt.Errorf("slopes: the system does not tell the time of process %d", pid)
 	}
-	sum := time.Duration(0)
 	for _, task := range tasks {
 		text, err := os.ReadFile(task)
 		if err != nil {
 			continue // the thread has ended
 		}
-		var ns int64
-		if _, err = fmt.Sscan(string(bytes.TrimSpace(text)), &ns); err != nil {
-			return 0, fmt.Errorf("slopes: %s: %w", task, err)
+		var ran, waited int64
+		if _, err = fmt.Sscan(string(text), &ran, &waited); err != nil {
+			return u, fmt.Errorf("slopes: %s: %w", task, err)
 		}
-		sum += time.Duration(ns)
+		u.ran, u.waited = u.ran+time.Duration(ran), u.waited+time.Duration(waited)
 	}
-	return sum, nil
+	return u, nil
 }
 
 // freeAddress is a loopback address that nothing listens on.
