--- a/internal/lab/scale/capacity/capacity.go
+++ b/internal/lab/scale/capacity/capacity.go
@@ -302,8 +302,12 @@
 		}
 		if g.Bound != 0 {
 			v := g.Value
-			if !g.Least {
+			switch {
+			case g.Least:
+			case g.P99 != 0:
 				v = max(v, g.P99)
+			default:
+				v = max(v, g.Worst)
 			}
 			margin = marginOf(v, g.Bound, g.Least)
 		}
--- a/internal/lab/scale/capacity/capacity_test.go
+++ b/internal/lab/scale/capacity/capacity_test.go
@@ -102,6 +102,10 @@
 
 func TestARowIsWorkedOutFromItsSlope(t *testing.T) {
 	text := rendered(t, file(straight("heap/tenants", 100, 2, 3, 300, 21000)))
+	// A fit is not drawn on beyond ten times its largest size.
+	if far := rendered(t, file(straight("heap/tenants", 100, 0.001, 3, 300, 21000))); strings.TrimSpace(line(t, far, figures.Settings, "heap of the tenants")[9]) != "over 210,000 things" {
+		t.Errorf("drawn on: %q", line(t, far, figures.Settings, "heap of the tenants")[9])
+	}
 	cells := line(t, text, figures.Settings, "heap of the tenants")
 	// 100 + 2*21000 = 42,100 KB of 262,144 allowed: 6.23 times, and 2*x + 100 = 262,144 at 131,022 tenants.
 	for i, want := range map[int]string{1: "42,100", 5: "42,100", 7: "at most 262,144", 8: "6.23 times", 9: "131,022 things", 10: "`heap/tenants`, `bin/kitelab slopes`"} {
--- a/internal/lab/scale/capacity/missing.go
+++ b/internal/lab/scale/capacity/missing.go
@@ -30,14 +30,16 @@
 			from:    fmt.Sprintf("worked out: %s requests/s a tenant and server, arrivals are remembered for %s s", number(share), number(rateOver)),
 			roadmap: "budgets over the whole fleet (`internal/escrow`)"},
 		{what: "originating versions once the originator is gone: none can be made", from: "by design", roadmap: "*The fleet when the centre is gone*"},
-		{what: "hollow callers' choice among servers (discovery) at 470 servers", from: "nothing here measures it", roadmap: "routing"},
+		{what: fmt.Sprintf("callers' choice among %d servers (discovery)", t.Fleet.Servers), from: "nothing here measures it", roadmap: "routing"},
 		{what: "calls below and kept keys on disk by their number", from: "nothing here measures it: `make measure-calls`, `make measure-keys` at one size", roadmap: "replicated keyed results"},
 	}
 	ratio := func(what, slope string, size, allowed float64, from, carried, roadmap string) {
 		w := wall{what: what, from: from, carried: carried, roadmap: roadmap}
 		if v, ok := in.at(slope, size); ok {
 			w.factor = v / allowed
-			w.from += " `" + slope + "`"
+			if slope != "" {
+				w.from = "`" + slope + "`"
+			}
 		}
 		list = append(list, w)
 	}
--- a/internal/lab/scale/capacity/rows.go
+++ b/internal/lab/scale/capacity/rows.go
@@ -1,6 +1,7 @@
 package capacity
 
 import (
+	"fmt"
 	"math"
 
 	"kiteslip/internal/lab/scale/figures"
@@ -192,6 +193,9 @@
 	t.row(append(cells, r.unit, allowed, margin, in.breaks(r, s, size, worst), from, carried)...)
 }
 
+// farthest is how many times the largest size measured a fit is drawn on.
+const farthest = 10
+
 // breaks says at which size the worst state's figure passes its bound, by the fit.
 func (in *Inputs) breaks(r *row, s *figures.Slope, size, worst float64) string {
 	if s == nil || r.bound == nil || worst <= 0 || r.grows == "-" {
@@ -206,7 +210,10 @@
 		return "not by " + s.By + " up to " + number(last.Size)
 	}
 	scale := worst / max(s.Fixed+s.PerUnit*size, math.SmallestNonzeroFloat64) // states scale the figure, and the fit misses a little
-	if at := (bound/scale - s.Fixed) / s.PerUnit; at > 0 {
+	switch at := (bound/scale - s.Fixed) / s.PerUnit; {
+	case at > farthest*last.Size: // a line says nothing of what lies so far beyond its points
+		return fmt.Sprintf("over %s %s", number(farthest*last.Size), s.By)
+	case at > 0:
 		return number(at) + " " + s.By
 	}
 	return "at any"
--- a/internal/lab/scale/slopes/start.go
+++ b/internal/lab/scale/slopes/start.go
@@ -91,7 +91,7 @@
 // startAtTarget measures the start and the changes with the target's settings.
 func (m *measurement) startAtTarget(engine string) error {
 	s := site{teams: m.target.Fleet.Tenants, routes: m.target.Fleet.Routes}
-	for _, changed := range []int{1, 5000} {
+	for _, changed := range []int{1, many} {
 		var starts, reloads, holds []float64
 		for range m.rounds(2) {
 			o, err := m.once(engine, s, changed)
@@ -114,7 +114,7 @@
 		m.say("a file with %d changed teams: in use after %.0f ms, a round trip meanwhile takes %.1f ms longer at most", changed, slope.Best(reloads), slope.Best(holds))
 		what := "one changed tenant"
 		if changed > 1 {
-			what = fmt.Sprintf("%d changed tenants", changed)
+			what = "5,000 changed tenants"
 		}
 		for _, g := range []figures.Figure{{Name: "SIGHUP with " + what + ", until in use", Value: slope.Median(reloads), Worst: slices.Max(reloads)},
 			{Name: "SIGHUP with " + what + ", " + longestTrip, Value: slope.Median(holds), Worst: slices.Max(holds)}} {
--- a/internal/lab/scale/slopes/version.go
+++ b/internal/lab/scale/slopes/version.go
@@ -113,7 +113,7 @@
 		name  string
 		n     float64
 		bound float64
-	}{{"a version that changes one tenant, on the loop", 1, holdOne}, {fmt.Sprintf("a version that changes %d tenants, on the loop", many), many, holdMany}} {
+	}{{"a version that changes one tenant, on the loop", 1, holdOne}, {"a version that changes 5,000 tenants, on the loop", many, holdMany}} {
 		p := m.file.Slope("version on the loop/changes").Points
 		for _, p := range p {
 			if p.Size != g.n {
