Slopes: what a request sees at a real server while it takes a version over

The core is held for 0.2 ms by a version, but a server of one core has one processor for Go: what is made ready beside the loop takes slices of its requests' time.

--- a/cmd/kitelab/slopes.go
+++ b/cmd/kitelab/slopes.go
@@ -12,7 +12,7 @@
 	Target  string   `default:"scenarios/target-fleet.toml" help:"The operators' target."`
 	Out     string   `default:"docs/capacity/slopes.json" help:"Where the slopes are kept; empty = nowhere."`
 	Short   bool     `help:"Three small sizes, within seconds: its times are no figures, and nothing is kept."`
-	Only    []string `help:"Parts to measure: decision, memory, start, traffic, delta, version, connections, latency. Nothing is kept then."`
+	Only    []string `help:"Parts to measure: decision, memory, start, traffic, delta, version, follow, connections, latency. Nothing is kept then."`
 }
 
 func (c *slopesCmd) Run() error {
--- a/internal/lab/scale/slopes/delta.go
+++ b/internal/lab/scale/slopes/delta.go
@@ -19,7 +19,7 @@
 	ms := func(v float64) *float64 { return &v }
 	for i := range s.routes {
 		if i%serviceRoutes == 0 {
-			c.Services = append(c.Services, document.Service{Name: fmt.Sprintf("service-%03d", i/serviceRoutes), Owner: teamName(i / serviceRoutes % s.teams), Backend: "127.0.0.1:9"})
+			c.Services = append(c.Services, document.Service{Name: fmt.Sprintf("service-%03d", i/serviceRoutes), Owner: teamName(i / serviceRoutes % s.teams)})
 		}
 		of := &c.Services[len(c.Services)-1]
 		of.Contracts = append(of.Contracts, document.Contract{Class: className(i), Effect: "repeatable", AimMS: ms(1400), DeadlineMS: ms(4200), Worth: ms(float64(1 + i%3))})
@@ -114,15 +114,9 @@
 
 // changed is the bytes of a delta that gives n tenants another quota, spread over all.
 func changed(base *document.Document, n int) ([]byte, error) {
-	teams := base.Content().Teams
-	if n > len(teams) {
-		return nil, fmt.Errorf("slopes: %d changes of %d tenants", n, len(teams))
-	}
-	var changes []document.Change
-	for i := range n {
-		t := teams[i*len(teams)/n]
-		t.Quota += 0.5
-		changes = append(changes, document.Change{Team: &t})
+	changes := another(base, n)
+	if len(changes) < n {
+		return nil, fmt.Errorf("slopes: %d changes of %d tenants", n, len(changes))
 	}
 	d, err := base.Draft(changes, by)
 	if err != nil {
--- a/internal/lab/scale/slopes/process.go
+++ b/internal/lab/scale/slopes/process.go
@@ -32,9 +32,10 @@
 }
 
 type logLine struct {
-	at    time.Time
-	Msg   string `json:"msg"`
-	Error string `json:"error"`
+	at      time.Time
+	Msg     string `json:"msg"`
+	Error   string `json:"error"`
+	Version uint64 `json:"version"` // of the fleet's document
 }
 
 // start starts the program with an operator's file in dir and waits for its
@@ -99,7 +100,10 @@
 var errRefused = errors.New("the program does not use the new configuration")
 
 // await waits for a line of the log, and returns when it came.
-func (p *process) await(msg string) (time.Time, error) {
+func (p *process) await(msg string) (time.Time, error) { return p.awaitVersion(msg, 0) }
+
+// awaitVersion waits for a line about a version, or a later one.
+func (p *process) awaitVersion(msg string, number uint64) (time.Time, error) {
 	over := time.After(patience)
 	for {
 		select {
@@ -109,7 +113,7 @@
 				p.mu.Lock()
 				defer p.mu.Unlock()
 				return time.Time{}, fmt.Errorf("slopes: the program ended: %.300s", p.lastErr)
-			case l.Msg == msg:
+			case l.Msg == msg && l.Version >= number:
 				return l.at, nil
 			case l.Msg == "the new configuration is not used":
 				return l.at, fmt.Errorf("slopes: %w: %.200s", errRefused, l.Error)
--- a/internal/lab/scale/slopes/site.go
+++ b/internal/lab/scale/slopes/site.go
@@ -17,6 +17,7 @@
 	engine        string
 	cores         int
 	sockets       int
+	control       string // the control machine that it follows; "" = none
 }
 
 // serviceRoutes is how many contracts a service has: 2,800 routes of 150 services.
@@ -28,6 +29,9 @@
 	b.Grow(200 * (s.teams + s.routes))
 	fmt.Fprintf(&b, "[machine]\nname = \"scale\"\nlisten = %q\nops = %q\nengine = %q\ncores = %d\nwork_mb = 4096\nstop_ms = 1500\n"+
 		"[machine.limits]\ncores = 1.0\nmemory_mb = 256\nsockets = %d\n", s.listen, s.ops, s.engine, s.cores, s.sockets)
+	if s.control != "" {
+		fmt.Fprintf(&b, "[control]\nregion = \"north\"\nwait_ms = 20000\n[[control.publisher]]\naddress = %q\nregion = \"north\"\n", s.control)
+	}
 	for i := range s.teams {
 		fmt.Fprintf(&b, "[[team]]\nname = %q\nrequests_per_s = %g\n", teamName(i), s.quota(i))
 	}
--- a/internal/lab/scale/slopes/slopes.go
+++ b/internal/lab/scale/slopes/slopes.go
@@ -31,7 +31,7 @@
 }
 
 // Parts are what can be measured alone, in their order.
-var Parts = []string{"decision", "memory", "start", "traffic", "delta", "version", "connections", "latency"}
+var Parts = []string{"decision", "memory", "start", "traffic", "delta", "version", "follow", "connections", "latency"}
 
 // measurement is one run.
 type measurement struct {
@@ -48,7 +48,7 @@
 		o.Say = func(string) {}
 	}
 	m := &measurement{Options: o, short: o.Short, target: o.Target, file: figures.New(command)}
-	parts := map[string]func() error{"decision": m.decisions, "memory": m.memory, "start": m.starts, "traffic": m.traffic, "delta": m.deltas, "version": m.versions, "connections": m.connections, "latency": m.latencies}
+	parts := map[string]func() error{"decision": m.decisions, "memory": m.memory, "start": m.starts, "traffic": m.traffic, "delta": m.deltas, "version": m.versions, "follow": m.follows, "connections": m.connections, "latency": m.latencies}
 	only := o.Only
 	if len(only) == 0 {
 		only = Parts
