--- a/internal/config/draft.go
+++ b/internal/config/draft.go
@@ -6,6 +6,7 @@
 
 	"kiteslip"
 	"kiteslip/internal/control/document"
+	"kiteslip/internal/pool"
 )
 
 // draft is a Change in the making: the configuration in force, whose lists are
@@ -19,6 +20,8 @@
 	next    int          // of p.dropped: what may be taken yet
 
 	touchedClasses, touchedTeams map[int]bool
+
+	same *pool.Settings // the pools, where nothing of them differs; nil = to be made
 }
 
 // draft starts one in which m is the outcome.
@@ -134,7 +137,10 @@
 }
 
 func (d *draft) change() *Change {
-	ch := &Change{Config: d.m, Pools: d.m.PoolSettings()}
+	ch := &Change{Config: d.m, Pools: d.same}
+	if ch.Pools == nil {
+		ch.Pools = d.m.PoolSettings()
+	}
 	for at := range d.touchedClasses {
 		ch.Classes = append(ch.Classes, at)
 	}
@@ -196,6 +202,9 @@
 	if !s.stepTeams() || !s.stepServices() || !s.stepPools() || !s.sound() {
 		return nil
 	}
+	if p.pools != nil && len(s.touchedClasses) == 0 && len(s.pools) == 0 && s.reserve == nil {
+		s.same = p.pools
+	}
 	ch := s.change()
 	ch.index = func() {
 		for _, old := range s.gone {
--- a/internal/config/places.go
+++ b/internal/config/places.go
@@ -27,7 +27,7 @@
 // taking it over costs by that.
 type Change struct {
 	Config  *Config
-	Pools   *pool.Settings // as Config has them; nil = none
+	Pools   *pool.Settings // as Config has them, the same pointer while nothing of them differs; nil = none
 	Classes []int          // places whose class is new, changed or dropped
 	Tenants []int          // places whose team is
 	Kept    []string       // keys whose change needs a restart
@@ -53,7 +53,8 @@
 	free    map[int]int64   // by place of a dropped team: when another may have it; 0 = to be set by At
 	dropped []drop          // in the order in which they get free; stale where free says otherwise
 
-	routes *routes // of the version in force; nil = to be found
+	routes *routes        // of the version in force; nil = to be found
+	pools  *pool.Settings // as the change in force had them; nil = none, or not known
 }
 
 // drop is a place of a dropped team.
@@ -230,7 +231,7 @@
 	} else {
 		p.routes = nil
 	}
-	p.cfg = next
+	p.cfg, p.pools = next, ch.Pools
 }
 
 // tidy takes stale entries out of the list of dropped places, once they are many:
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -106,9 +106,11 @@
 // that they had, and new ones follow. On an error nothing has changed. A key
 // whose request ran under a shorter window is kept for the longer one, and no
 // window that was promised, nor the grace of a drain under way, gets longer or
-// shorter by it: what the older settings forbade stays forbidden.
+// shorter by it: what the older settings forbade stays forbidden. Pools that are
+// the very record in force (the same pointer) are the same, and cost nothing.
 func (c *Core) Retune(module kiteslip.Settings, off []bool, pools *pool.Settings) error {
-	if pools != nil {
+	same := pools != nil && pools == c.set.Pools && len(module.Classes) == len(c.set.Module.Classes)
+	if pools != nil && !same {
 		if err := pools.Check(); err != nil {
 			return err
 		}
@@ -122,8 +124,10 @@
 	}
 	longer := longerWindow(c.set.Module.Classes, module.Classes)
 	c.set.Module, c.set.Off = module, off
-	if err := c.repool(pools); err != nil {
-		return err
+	if !same {
+		if err := c.repool(pools); err != nil {
+			return err
+		}
 	}
 	for len(c.classes) < len(module.Classes) {
 		c.classes = append(c.classes, Answers{})
