--- a/cmd/kiteslip/control_fleet_test.go
+++ b/cmd/kiteslip/control_fleet_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"strconv"
@@ -72,11 +74,28 @@
 		"limits": map[string]any{"cores": 1, "memory_mb": 96, "sockets": 256}}
 }
 
+// door makes one call at the operators' door; "" = nobody is there, or leaves.
+func door(t testing.TB, ops, call string) string {
+	t.Helper()
+	conn, err := net.Dial("tcp", ops)
+	if err != nil {
+		return ""
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(20 * time.Second)) //nolint:errcheck // a TCP connection takes it
+	fmt.Fprintf(conn, "%s\n", call)
+	answer, err := io.ReadAll(conn)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("%s: no answer", call)
+	}
+	return string(answer)
+}
+
 // shown is what show-version tells, by its first words.
 func shown(t testing.TB, ops string) map[string]string {
 	t.Helper()
 	m := map[string]string{}
-	for _, line := range strings.Split(standin.Ask(t, ops, "show-version"), "\n") {
+	for _, line := range strings.Split(door(t, ops, "show-version"), "\n") {
 		if key, value, ok := strings.Cut(line, " "); ok {
 			m[key] = value
 		}
@@ -143,15 +162,10 @@
 				return
 			default:
 			}
-			c, err := net.Dial("tcp", ops)
-			if err != nil {
-				continue // it is between two lives
-			}
-			c.Close()
 			m := shown(l.t, ops)
 			n, err := strconv.ParseUint(m["version"], 10, 64)
 			if err != nil {
-				continue
+				continue // it is between two lives
 			}
 			l.mu.Lock()
 			want, known := l.digests[n]
--- a/cmd/kiteslip/control_follow_test.go
+++ b/cmd/kiteslip/control_follow_test.go
@@ -259,7 +259,7 @@
 		c.Send(i+1, standin.Fields("sum", "teal", "", uint64(i+1), 4*time.Second), "1000000")
 	}
 	testfleet.Eventually(t, "they run", func() bool {
-		return strings.Contains(standin.Ask(t, p.Ops, "show-stat"), fmt.Sprintf("app.active:%d|g", open))
+		return strings.Contains(door(t, p.Ops, "show-stat"), fmt.Sprintf("app.active:%d|g", open))
 	})
 	last := l.publish(document.Change{Drop: true, Team: &document.Team{Name: "teal"}})
 	inForce(t, "the team is dropped", p.Ops, last, healWithin)
@@ -302,7 +302,7 @@
 		next["stop_ms"] = 2000 + 10*i
 		p.Reload(next)
 		testfleet.Eventually(t, "the file is taken over", func() bool {
-			return strings.Contains(standin.Ask(t, p.Ops, "show-stat"), fmt.Sprintf("app.config_applied:%d|c", i+1))
+			return strings.Contains(door(t, p.Ops, "show-stat"), fmt.Sprintf("app.config_applied:%d|c", i+1))
 		})
 	}
 	at := number(t, p.Ops)
@@ -334,7 +334,7 @@
 	defer listener.Close()
 	clients, dir, folder := listener.(*net.TCPListener), t.TempDir(), t.TempDir()
 	operator := filepath.Join(t.TempDir(), "operator.toml")
-	text := controlText("north", folder, 5_000, testfleet.ControlTarget{Address: origin.Address, Region: "north"})
+	text := controlText("north", folder, 2_000, testfleet.ControlTarget{Address: origin.Address, Region: "north"})
 	if err := os.WriteFile(operator, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
@@ -419,10 +419,10 @@
 // Without [control] the door says so, and nothing follows.
 func TestFollowOff(t *testing.T) {
 	p := followerProgram(t, "")
-	if got := standin.Ask(t, p.Ops, "show-version"); !strings.HasPrefix(got, "error no [control]") {
+	if got := door(t, p.Ops, "show-version"); !strings.HasPrefix(got, "error no [control]") {
 		t.Errorf("%q", got)
 	}
-	if got := standin.Ask(t, p.Ops, "show-stat"); strings.Contains(got, "control.") {
+	if got := door(t, p.Ops, "show-stat"); strings.Contains(got, "control.") {
 		t.Errorf("%s", got)
 	}
 	p.Leave()
--- a/internal/control/follow/follower_test.go
+++ b/internal/control/follow/follower_test.go
@@ -339,3 +339,37 @@
 		t.Errorf("%v", err)
 	}
 }
+
+// A stream ends though its publisher takes nothing of what is written to it: the
+// connection is full, and a write waits in it.
+func TestEndWhileBlocked(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	taken := make(chan net.Conn, 1)
+	go func() {
+		if c, err := l.Accept(); err == nil {
+			taken <- c // it is never read
+		}
+	}()
+	count, began := &traffic{}, time.Now()
+	s := open(0, l.Addr().String(), &protocol.Hello{Name: "server-1"}, count, func() time.Duration { return time.Since(began) }, answerMost)
+	defer (<-taken).Close()
+	eventually(t, "the preface is written", func() bool { return count.sent.Load() > 0 })
+	s.mu.Lock()
+	conn := s.conn
+	s.mu.Unlock()
+	full := make(chan struct{})
+	go func() {
+		defer close(full)
+		for {
+			if _, err := conn.Write(make([]byte, 1<<20)); err != nil {
+				return
+			}
+		}
+	}()
+	s.end(nil)
+	<-full
+}
--- a/internal/control/follow/stream.go
+++ b/internal/control/follow/stream.go
@@ -47,6 +47,10 @@
 	retold   bool          // what is refused here was said on it; the owner's
 
 	ahead int // beats in a row that tell of a version of which nothing comes; the owner's
+
+	mu     sync.Mutex
+	conn   net.Conn
+	hungUp bool
 }
 
 // open begins a stream, beside the caller.
@@ -56,6 +60,7 @@
 	s.cancel = func() {
 		cancel()
 		s.words.Close() //nolint:errcheck // it has none; the transport waits in Read for what we say, whatever becomes of the request
+		s.hangUp()      // or in a write that a publisher which has stopped does not take
 	}
 	s.words.some.L = &s.words.mu
 	s.words.say(&protocol.FromFollower{Hello: hello})
@@ -70,15 +75,6 @@
 // run opens the stream and hands on what comes, one record at a time: a slow
 // owner holds back the publisher, and nothing is gathered here.
 func (s *stream) run(ctx context.Context, address string, count *traffic) error {
-	var conn net.Conn
-	var mu sync.Mutex
-	defer func() {
-		mu.Lock()
-		defer mu.Unlock()
-		if conn != nil {
-			conn.Close()
-		}
-	}()
 	transport := &http.Transport{
 		Protocols: new(http.Protocols), DisableCompression: true, DisableKeepAlives: true,
 		HTTP2: &http.HTTP2Config{MaxReceiveBufferPerConnection: receiveMost, MaxReceiveBufferPerStream: receiveMost,
@@ -88,9 +84,9 @@
 			if err != nil {
 				return nil, err
 			}
-			mu.Lock()
-			conn = c
-			mu.Unlock()
+			if !s.dialed(c) {
+				return nil, net.ErrClosed
+			}
 			return &counted{c, count}, nil
 		},
 	}
@@ -124,6 +120,24 @@
 	}
 }
 
+// dialed notes the stream's connection; false = the stream has ended meanwhile.
+func (s *stream) dialed(c net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.conn = c; s.hungUp {
+		c.Close()
+	}
+	return !s.hungUp
+}
+
+func (s *stream) hangUp() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.hungUp = true; s.conn != nil {
+		s.conn.Close()
+	}
+}
+
 // silent says when the stream is to be left unless something comes before.
 func (s *stream) silent() time.Duration {
 	if at := s.heardAt.Load(); at != 0 {
