--- a/internal/control/follow/take.go
+++ b/internal/control/follow/take.go
@@ -53,7 +53,7 @@
 	case b.Number == number && b.Digest != f.inForce.Digest():
 		f.fork(b.Number, b.Digest)
 	case b.Number == number:
-		f.caughtUp()
+		f.caughtUp(unheard < protocol.OrphanMost)
 	case b.Number > number:
 		f.tell(b.Number)
 		// A publisher that takes our version for one of two with its number sends beats alone.
@@ -67,8 +67,9 @@
 	}
 }
 
-// caughtUp notes that the publisher and we are on one version.
-func (f *Follower) caughtUp() {
+// caughtUp notes that the publisher and we are on one version. Where it hears the
+// originator there is none after it, whatever another has told.
+func (f *Follower) caughtUp(hears bool) {
 	f.current = true
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -76,6 +77,9 @@
 	if f.apply == nil && f.state.Origin == FromFolder {
 		f.state.Origin = FromPublisher // it confirms what was kept
 	}
+	if hears && f.head == f.inForce {
+		f.told = f.state.Number
+	}
 	if f.told <= f.state.Number {
 		f.since, f.state.Refused = time.Time{}, ""
 	}
--- a/internal/control/follow/take_test.go
+++ b/internal/control/follow/take_test.go
@@ -299,3 +299,24 @@
 		t.Errorf("%+v", st)
 	}
 }
+
+// A version that one publisher tells of, and that another which hears the
+// originator does not know, is no lag any longer.
+func TestToldOfNothing(t *testing.T) {
+	docs, _ := chain(t, 5)
+	a, b := newFake(t), newFake(t)
+	set := settings(a, b)
+	ranked := prefer(&set, a, b)
+	f := follows(t, set)
+	s := ranked[0].stream()
+	s.snapshot(docs[2])
+	wantAck(t, s.ack(), docs[2])
+	s.beat(docs[5], 0)
+	eventually(t, "it lags", func() bool { return f.State().Lag > 0 })
+	s.end()
+	s = ranked[1].stream()
+	s.beat(docs[2], protocol.OrphanMost)
+	eventually(t, "the other is followed", func() bool { return f.State().Publisher == ranked[1].address })
+	s.beat(docs[2], 0)
+	eventually(t, "it is current", func() bool { return f.State().Lag == 0 })
+}
