Control machines: pages are taken within a bound, dead links are cut off, the stuck followers' test measures from the steady state

A heap that grew by what a queue would hold could pass the test before: 6.5 MB went through against a bound of 7. Now it must grow by less than half of what goes through.

--- a/internal/control/publish/load_test.go
+++ b/internal/control/publish/load_test.go
@@ -35,7 +35,7 @@
 // Followers that take nothing hold up nobody and make nothing grow: all versions
 // reach the others meanwhile, and those that are stuck are cut off.
 func TestStuckFollowers(t *testing.T) {
-	const stuck, versions, teams, bytes = 8, 40, 4000, 1 << 20
+	const stuck, warm, versions, teams, bytes = 8, 10, 40, 4000, 1 << 20
 	m := serve(t, Settings{Bytes: bytes})
 	rng := rand.New(rand.NewPCG(1, 1))
 	m.must(t, many(rng, 1)...)
@@ -50,9 +50,12 @@
 		hello(t, link.Address, protocol.Hello{Name: fmt.Sprint("stuck", i), Number: 1, Digest: doc.Digest()}).beat()
 	}
 	link.Silence(faultnet.Back)
-	before, sent := heap(), 0
+	before, sent, beside := uint64(0), 0, 0
 	var longest time.Duration
 	for n := uint64(2); n < 2+versions; n++ {
+		if n == 2+warm { // what the machine needs anyhow is there: log, tables, buffers
+			before, sent = heap(), 0
+		}
 		changes := many(rng, teams)
 		if n%2 == 1 { // it does not grow without end itself
 			changes = nil
@@ -64,15 +67,21 @@
 		began := time.Now()
 		doc, _, _ = good.reach(doc, n)
 		longest = max(longest, time.Since(began))
+		if n, _ := m.book.counts(); n == 1+stuck {
+			beside++
+		}
 		sent += len(m.versions.entries[len(m.versions.entries)-1].record)
 	}
 	after := heap()
 	t.Logf("%d bytes of versions; the good one waits %v at most; the heap grows by %d KB", sent, longest, (int64(after)-int64(before))/1024)
+	if beside == 0 {
+		t.Error("the good one got nothing while the others were stuck")
+	}
 	if sent < 4*bytes {
 		t.Errorf("%d bytes of versions: too few to show anything", sent)
 	}
-	if grown := int64(after) - int64(before); grown > bytes+6<<20 {
-		t.Errorf("the heap grows by %d KB", grown/1024)
+	if grown := int64(after) - int64(before); grown > int64(sent)/2 {
+		t.Errorf("the heap grows by %d KB, while %d KB went through a log of %d KB", grown/1024, sent/1024, bytes/1024)
 	}
 	if doc.Digest() != m.Document().Digest() {
 		t.Error("the good one is on another version")
@@ -158,11 +167,7 @@
 // The whole fleet starts at once, each server with nothing: one snapshot is made
 // for all of them. Then all get each new version.
 func TestAllAtOnce(t *testing.T) {
-	const fleet, rounds = 470, 5
-	teams := 21_000
-	if raced {
-		teams = 1_000 // the bytes are not what is looked at for races
-	}
+	const fleet, teams, rounds = 470, 21_000, 5
 	m := serve(t, Settings{})
 	var changes []document.Change
 	for i := range teams {
--- a/internal/control/publish/norace_test.go
+++ /dev/null
@@ -1,5 +0,0 @@
-//go:build !race
-
-package publish
-
-const raced = false
--- a/internal/control/publish/publish.go
+++ b/internal/control/publish/publish.go
@@ -56,13 +56,14 @@
 
 // The times that a Publisher keeps to, besides those of the protocol.
 const (
-	helloWithin = 5 * time.Second  // a stream that has not said who it is by then is cut off
-	ackWithin   = 30 * time.Second // ... as is one that says nothing to what it was sent for so long
-	pingAfter   = 5 * time.Second  // a connection that is silent for so long is asked whether it is there
-	pingWithin  = 5 * time.Second  // ... and closed without an answer
-	bodyWithin  = 30 * time.Second // a version is read whole by then
-	leaveWithin = 2 * time.Second  // answers under way have this long to end when the machine leaves
-	retryAfter  = 2                // seconds, to those who are turned away
+	helloWithin  = 5 * time.Second  // a stream that has not said who it is by then is cut off
+	ackWithin    = 30 * time.Second // ... as is one that says nothing to what it was sent for so long
+	pingAfter    = 5 * time.Second  // a connection that is silent for so long is asked whether it is there
+	pingWithin   = 5 * time.Second  // ... and closed without an answer
+	bodyWithin   = 30 * time.Second // a version is read whole by then
+	answerWithin = 10 * time.Second // a page is taken by whoever asked for it by then
+	leaveWithin  = 2 * time.Second  // answers under way have this long to end when the machine leaves
+	retryAfter   = 2                // seconds, to those who are turned away
 )
 
 // Errors of Open, Publish and the Client, to be compared with errors.Is.
--- a/internal/control/publish/publisher.go
+++ b/internal/control/publish/publisher.go
@@ -32,7 +32,7 @@
 	ending   context.Context  // ends when the machine leaves
 	end      context.CancelFunc
 
-	helloWithin, ackWithin time.Duration
+	helloWithin, ackWithin, pingAfter, pingWithin time.Duration
 
 	mu       sync.Mutex // held while a version is made: one at a time
 	kept     uint64     // the version that the snapshot on disk is of
@@ -60,7 +60,7 @@
 	p := &Publisher{set: set, log: set.Log, store: s, book: newBook(),
 		places: make(chan struct{}, MostFollowers), wholes: make(chan struct{}, mostWholes),
 		bodies:      make(chan struct{}, mostBodies),
-		helloWithin: helloWithin, ackWithin: ackWithin}
+		helloWithin: helloWithin, ackWithin: ackWithin, pingAfter: pingAfter, pingWithin: pingWithin}
 	p.ending, p.end = context.WithCancel(context.Background())
 	if err := p.restore(); err != nil {
 		return nil, errors.Join(fmt.Errorf("%s: %w", set.Folder, err), s.close())
--- a/internal/control/publish/serve.go
+++ b/internal/control/publish/serve.go
@@ -36,7 +36,7 @@
 	both.SetUnencryptedHTTP2(true)
 	server := &http.Server{Handler: p.handler(), Protocols: &both, ReadHeaderTimeout: helloWithin, IdleTimeout: time.Minute,
 		MaxHeaderBytes: mostWord, ErrorLog: zap.NewStdLog(p.log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
-		HTTP2: &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingWithin, MaxConcurrentStreams: MostFollowers + 1}}
+		HTTP2: &http.HTTP2Config{SendPingTimeout: p.pingAfter, PingTimeout: p.pingWithin, MaxConcurrentStreams: MostFollowers + 1}}
 	var relay sync.WaitGroup
 	if p.relay != nil {
 		relay.Go(func() { p.relay.Run(ctx, p.take) })
@@ -225,6 +225,8 @@
 }
 
 func answer(w http.ResponseWriter, status int, value any) {
+	// One who asks and does not read holds a connection no longer than that.
+	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(answerWithin)) //nolint:errcheck // as below
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	json.NewEncoder(w).Encode(value) //nolint:errcheck // whoever asked may have gone
--- a/internal/control/publish/serve_test.go
+++ b/internal/control/publish/serve_test.go
@@ -13,6 +13,7 @@
 
 	"kiteslip/internal/control/document"
 	"kiteslip/internal/control/protocol"
+	"kiteslip/internal/faultnet"
 )
 
 func within(t testing.TB) context.Context {
@@ -241,6 +242,26 @@
 	}
 }
 
+// One whose machine or link has died without a word is cut off, though the system
+// still takes the few bytes that it is sent.
+func TestDeadLinkIsCutOff(t *testing.T) {
+	m := serve(t, Settings{}, func(p *Publisher) { p.pingAfter, p.pingWithin = 100*time.Millisecond, 500*time.Millisecond })
+	m.versionsUpTo(t, 1)
+	link, err := faultnet.New(m.Address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(link.Close)
+	p := hello(t, link.Address, protocol.Hello{Name: "dead"})
+	p.reach(document.Empty(), 1)
+	link.Silence(faultnet.There)
+	link.Silence(faultnet.Back)
+	eventually(t, "it is listed as gone", func() bool {
+		lines, err := m.Followers(within(t), false)
+		return err == nil && len(lines) == 1 && !lines[0].Connected
+	})
+}
+
 // One more than the places is told to come back, and comes in when one is free.
 func TestPlacesAreBounded(t *testing.T) {
 	m := serve(t, Settings{}, func(p *Publisher) { p.places = make(chan struct{}, 2) })
