--- a/internal/lab/scale/slopes/start.go
+++ b/internal/lab/scale/slopes/start.go
@@ -282,6 +282,8 @@
 		close(p.quit)
 	}
 	<-p.ended
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	if p.err != nil {
 		return fmt.Errorf("slopes: a caller beside the reload: %w", p.err)
 	}
@@ -294,6 +296,8 @@
 func (p *pinger) worst(from, to time.Time) (float64, error) {
 	var usual []float64
 	longest := time.Duration(0)
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	for _, t := range p.trips {
 		switch end := t.at.Add(t.took); {
 		case end.Before(from):
