--- /dev/null
+++ b/cmd/kitelab/fleetday.go
@@ -0,0 +1,72 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"kiteslip/internal/lab/scale/figures"
+	"kiteslip/internal/lab/scale/fleetday"
+	"kiteslip/internal/lab/scale/hollow"
+)
+
+type fleetdayCmd struct {
+	Program        string `default:"bin/kiteslip" help:"The program that is measured."`
+	Seed           uint64 `default:"32" help:"Of the content, the changes, the plan and the callers."`
+	Small          bool   `help:"The form of some seconds, with 33 servers: its figures are no measurement."`
+	WithoutControl bool   `help:"The real servers alone, by their files: what the day costs without control."`
+	Plan           bool   `help:"Print the day's plan, and play nothing."`
+	Out            string `default:"docs/capacity/fleetday.json" help:"Where the figures of a whole day are kept; \"\" = nowhere."`
+}
+
+func (c *fleetdayCmd) Run() error {
+	form := fleetday.Full()
+	if c.Small {
+		form = fleetday.Short()
+	}
+	form.Seed = c.Seed
+	if c.Plan {
+		for _, e := range form.Plan().Events {
+			fmt.Println(e)
+		}
+		return nil
+	}
+	self, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	kept := figures.New("bin/kitelab fleetday")
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	report, err := fleetday.Play(ctx, fleetday.Options{Form: form, Program: c.Program, Self: []string{self},
+		WithoutControl: c.WithoutControl, Watch: os.Stderr})
+	if err != nil {
+		return err
+	}
+	if c.Out != "" && !c.Small && !c.WithoutControl {
+		kept.Figures = report.Figures
+		if err = kept.Save(c.Out); err != nil {
+			return err
+		}
+	}
+	report.Write(os.Stdout)
+	if len(report.Short) > 0 {
+		return errShort
+	}
+	return nil
+}
+
+// The processes that a fleet day starts of this binary.
+type (
+	hollowServersCmd struct {
+		Spec string `arg:"" help:"What the servers are to be."`
+	}
+	hollowCallersCmd struct {
+		Spec string `arg:"" help:"What the callers are to be."`
+	}
+)
+
+func (c *hollowServersCmd) Run() error { return hollow.RunServers(c.Spec, os.Stdin, os.Stdout) }
+func (c *hollowCallersCmd) Run() error { return hollow.RunCallers(c.Spec, os.Stdin, os.Stdout) }
--- a/cmd/kitelab/main.go
+++ b/cmd/kitelab/main.go
@@ -26,6 +26,10 @@
 	Slopes   slopesCmd   `cmd:"" help:"How the figures of one server grow with tenants, routes, callers and changes."`
 	Capacity capacityCmd `cmd:"" help:"Render the tables of docs/CAPACITY.md from what was measured."`
 	Door     doorCmd     `cmd:"" help:"A thousand connections that ask from the start, against the real program."`
+	Fleetday fleetdayCmd `cmd:"" help:"The day of the target fleet, compressed, against the real program and hollow servers."`
+
+	HollowServers hollowServersCmd `cmd:"" hidden:"" help:"Hollow servers of a fleet day."`
+	HollowCallers hollowCallersCmd `cmd:"" hidden:"" help:"Callers of a fleet day."`
 }
 
 // errShort says that a figure falls short of what is promised.
--- /dev/null
+++ b/internal/lab/scale/fleetday/schedule_test.go
@@ -0,0 +1,151 @@
+package fleetday
+
+import (
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+
+	"kiteslip/internal/config"
+)
+
+// Both forms have all faults, each taken back, at the same times for one seed.
+func TestPlanHasAllFaults(t *testing.T) {
+	for name, form := range map[string]func() *Form{"full": Full, "short": Short} {
+		plan := form().Plan()
+		if !reflect.DeepEqual(plan, form().Plan()) {
+			t.Errorf("%s: one seed gives two plans", name)
+		}
+		f := form()
+		down, machines, cut, changed, restarts := map[int]bool{}, map[int]bool{}, false, 0, map[int]int{}
+		var phases []string
+		for i, e := range plan.Events {
+			if i > 0 && e.At < plan.Events[i-1].At || e.At > plan.Length {
+				t.Errorf("%s: %s is out of its time", name, e)
+			}
+			switch e.Kind {
+			case Phase:
+				phases = append(phases, e.Name)
+			case Publish:
+				changed++
+			case Restart:
+				restarts[len(e.Servers)]++
+				if len(e.Servers) == 1 && e.Servers[0] < f.paired() {
+					t.Errorf("%s: %s, which is compared with its twin", name, e)
+				}
+			case Kill, Back, BackCold:
+				for _, s := range e.Servers {
+					if down[s] == (e.Kind == Kill) {
+						t.Errorf("%s: %s: server %d is so already", name, e, s)
+					}
+					down[s] = e.Kind == Kill
+				}
+			case KillControl, BackControl:
+				for _, m := range e.Machines {
+					if m == 0 || machines[m] == (e.Kind == KillControl) {
+						t.Errorf("%s: %s: machine %d originates, or is so already", name, e, m)
+					}
+					machines[m] = e.Kind == KillControl
+				}
+			case Cut, Heal:
+				cut = e.Kind == Cut
+			}
+		}
+		for s, gone := range down {
+			if gone {
+				t.Errorf("%s: server %d does not come back", name, s)
+			}
+		}
+		for m, gone := range machines {
+			if gone {
+				t.Errorf("%s: control machine %d does not come back", name, m)
+			}
+		}
+		if want := []string{Calm, Burst, Large, Rack, Zone, Killed, Apart, Healed, Together, OneMachine, Afterwards}; !slices.Equal(phases, want) {
+			t.Errorf("%s: phases %q, want %q", name, phases, want)
+		}
+		if cut || restarts[f.Servers] != 1 || restarts[1] < 1 {
+			t.Errorf("%s: cut off at the end %v, restarts %v", name, cut, restarts)
+		}
+		if name == "full" && (changed < 70 || restarts[1] < 14) {
+			t.Errorf("%d changes, %d restarts: less than ten times the day's pace", changed, restarts[1])
+		}
+	}
+}
+
+// The file that is published and the one of a server without control say the
+// same, and a drawn change changes something each time.
+func TestContentIsAFileThatIsTaken(t *testing.T) {
+	f := Short()
+	content := Content(f.Sizes, 7)
+	text := machineText("a", "127.0.0.1:1", "", "127.0.0.1:2", 3000) + Operator(&content)
+	cfg, err := config.ParseOperator(text, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(cfg.Tenants) != f.Tenants || len(cfg.Classes) != f.Routes {
+		t.Errorf("%d teams and %d classes, want %d and %d", len(cfg.Tenants), len(cfg.Classes), f.Tenants, f.Routes)
+	}
+	for i, team := range content.Teams {
+		if cfg.Tenants[i] != team.Name || cfg.Module.Tenants[i].Quota != team.Quota {
+			t.Fatalf("team %d is %s with %v, want %v", i, cfg.Tenants[i], cfg.Module.Tenants[i].Quota, team)
+		}
+	}
+	if again := Content(f.Sizes, 7); !reflect.DeepEqual(content, again) {
+		t.Error("one seed gives two contents")
+	}
+	d := NewDrafter(Content(f.Sizes, 7), 7)
+	quotas := map[string]float64{}
+	for _, team := range content.Teams {
+		quotas[team.Name] = team.Quota
+	}
+	kinds := map[string]int{}
+	for range 60 {
+		for _, c := range d.Next(1) {
+			switch {
+			case c.Drop:
+				kinds["drop"]++
+				if _, there := quotas[c.Team.Name]; !there {
+					t.Errorf("%s is dropped and is not there", c.Team.Name)
+				}
+				delete(quotas, c.Team.Name)
+			case c.Team != nil:
+				kinds["team"]++
+				if quotas[c.Team.Name] == c.Team.Quota || c.Team.Quota <= 0 {
+					t.Errorf("%s stays at %v", c.Team.Name, c.Team.Quota)
+				}
+				quotas[c.Team.Name] = c.Team.Quota
+			default:
+				kinds["service"]++
+			}
+		}
+	}
+	if kinds["drop"] < 4 || kinds["service"] < 4 || kinds["team"] < 40 {
+		t.Errorf("kinds of changes: %v", kinds)
+	}
+	if n := len(d.Next(150)); n != 150 {
+		t.Errorf("a change of 150 tenants touches %d", n)
+	}
+	if !strings.Contains(Operator(&content), "[[service.contract]]") {
+		t.Error("no contracts in the file")
+	}
+}
+
+// A fleet's regions, zones and racks lie within each other, and real servers are in all regions.
+func TestFormIsAFleet(t *testing.T) {
+	f := Full()
+	seen := map[int]int{}
+	for i := range f.Real {
+		seen[f.regionOf(i)]++
+	}
+	if len(seen) != f.Regions || len(f.rack()) != f.RackSize || len(f.zone(3)) != f.Servers/f.Zones {
+		t.Errorf("real servers by region %v, a rack of %d, a zone of %d", seen, len(f.rack()), len(f.zone(3)))
+	}
+	rates := map[float64]int{}
+	for i := range f.Real {
+		rates[f.rate(i)]++
+	}
+	if rates[0] != f.Idle || rates[100] != f.Hot || rates[64] < 38 {
+		t.Errorf("servers by rate: %v", rates)
+	}
+}
--- /dev/null
+++ b/internal/lab/scale/hollow/servers.go
@@ -0,0 +1,244 @@
+package hollow
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"runtime/debug"
+	"strings"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"kiteslip/internal/config"
+	"kiteslip/internal/control/document"
+	"kiteslip/internal/control/follow"
+	"kiteslip/internal/core"
+)
+
+// ServersSpec says what a process of hollow servers is to be.
+type ServersSpec struct {
+	Operator string // the operator's file of each, as a real server's
+	Folder   string // each keeps its version in a folder of its own here
+	WaitUS   int64  // how long a start waits for a publisher, microseconds
+	Seed     uint64
+	Servers  []Server
+}
+
+// Server is a hollow server.
+type Server struct {
+	Name       string
+	Region     string
+	Publishers []follow.Publisher
+}
+
+// The commands to a process of hollow servers, each with a server's name but the
+// last: its answer is a line "states" with a JSON list of States.
+const (
+	Stop   = "stop"   // the server is gone at once
+	Start  = "start"  // it starts with what its folder keeps
+	Cold   = "cold"   // it starts with an empty folder
+	States = "states" // of all
+)
+
+// State is how a hollow server stands.
+type State struct {
+	Name      string
+	Number    uint64
+	Digest    string
+	Sent      int64
+	Received  int64
+	Applied   int
+	Snapshots int
+	Switches  int
+	Refused   string
+	Fork      bool
+}
+
+// gcPercent is that of a real server.
+const gcPercent = 50
+
+type servers struct {
+	spec ServersSpec
+	all  map[string]*server
+
+	mu  sync.Mutex
+	out io.Writer
+}
+
+// server is one hollow server over its lives.
+type server struct {
+	in     *servers
+	spec   Server
+	number uint64 // of the life, for the jitter's seed
+
+	mu       sync.Mutex
+	follower *follow.Follower
+	end      context.CancelFunc
+	ended    chan struct{}
+}
+
+// RunServers is the process: it is what the file at path says, until in ends.
+// It writes a line "force NAME NUMBER DIGEST AT" for each version that comes into
+// force at a server, AT in Unix microseconds.
+func RunServers(path string, in io.Reader, out io.Writer) error {
+	debug.SetGCPercent(gcPercent)
+	s := &servers{all: map[string]*server{}, out: out}
+	if err := read(path, &s.spec); err != nil {
+		return err
+	}
+	for i := range s.spec.Servers {
+		one := &server{in: s, spec: s.spec.Servers[i], number: uint64(i) << 32}
+		s.all[one.spec.Name] = one
+	}
+	s.say(Ready)
+	for scan := bufio.NewScanner(in); scan.Scan(); {
+		if err := s.command(strings.Fields(scan.Text())); err != nil {
+			return err
+		}
+	}
+	var all sync.WaitGroup
+	for _, one := range s.all {
+		all.Go(one.stop)
+	}
+	all.Wait()
+	return nil
+}
+
+func (s *servers) say(format string, args ...any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	fmt.Fprintf(s.out, format+"\n", args...)
+}
+
+func (s *servers) command(words []string) error {
+	if len(words) == 1 && words[0] == States {
+		var list []State
+		for _, spec := range s.spec.Servers {
+			list = append(list, s.all[spec.Name].state())
+		}
+		text, err := json.Marshal(list)
+		if err == nil {
+			s.say("%s %s", States, text)
+		}
+		return err
+	}
+	if len(words) != 2 || s.all[words[1]] == nil {
+		return fmt.Errorf("hollow: no such command: %q", words)
+	}
+	one := s.all[words[1]]
+	switch words[0] {
+	case Stop:
+		go one.stop()
+	case Start, Cold:
+		go one.start(words[0] == Cold)
+	default:
+		return fmt.Errorf("hollow: no such command: %q", words)
+	}
+	return nil
+}
+
+func (one *server) stop() {
+	one.mu.Lock()
+	defer one.mu.Unlock()
+	if one.end != nil {
+		one.end()
+		<-one.ended
+		one.end, one.follower = nil, nil
+	}
+}
+
+// start begins a life after the one before has ended.
+func (one *server) start(cold bool) {
+	one.stop()
+	one.mu.Lock()
+	defer one.mu.Unlock()
+	one.number++
+	folder := filepath.Join(one.in.spec.Folder, one.spec.Name)
+	var err error
+	if cold {
+		err = os.RemoveAll(folder)
+	}
+	if err == nil {
+		err = os.MkdirAll(folder, 0o700)
+	}
+	var cfg *config.Config
+	if err == nil {
+		cfg, err = config.ParseOperator(one.in.spec.Operator, nil)
+	}
+	if err == nil {
+		one.follower, err = follow.New(follow.Settings{Name: one.spec.Name, Region: one.spec.Region, Publishers: one.spec.Publishers,
+			Folder: folder, Wait: time.Duration(one.in.spec.WaitUS) * time.Microsecond, Seed: one.in.spec.Seed + one.number, Log: zap.NewNop()})
+	}
+	if err != nil {
+		one.in.say("error %s %q", one.spec.Name, err)
+		return
+	}
+	ctx, end := context.WithCancel(context.Background())
+	one.end, one.ended = end, make(chan struct{})
+	go func(f *follow.Follower, ended chan<- struct{}) {
+		defer close(ended)
+		if err := one.live(ctx, f, cfg); err != nil {
+			one.in.say("error %s %q", one.spec.Name, err)
+		}
+	}(one.follower, one.ended)
+}
+
+// live is what a real server does with versions, in the same order.
+func (one *server) live(ctx context.Context, f *follow.Follower, cfg *config.Config) error {
+	places := config.NewPlaces(cfg)
+	doc, origin := f.First(ctx)
+	if doc != nil {
+		ch, err := places.Version(doc, nil)
+		if err != nil {
+			return err
+		}
+		places.Adopted(ch)
+		cfg = ch.Config
+	}
+	c, err := core.New(core.Settings{Module: cfg.Module, Seed: cfg.Seed, Pools: cfg.PoolSettings()}, idle{})
+	if err != nil {
+		return err
+	}
+	if doc != nil {
+		one.force(doc, string(origin))
+	}
+	f.Run(ctx, func(_ context.Context, doc *document.Document, delta *document.Delta) error {
+		ch, err := places.Version(doc, delta)
+		if err == nil {
+			err = c.Retune(ch.Config.Module, ch.Config.ClassesOff, ch.Config.PoolSettings())
+		}
+		if err != nil {
+			return err
+		}
+		places.Adopted(ch)
+		one.force(doc, string(follow.FromPublisher))
+		return nil
+	})
+	return nil
+}
+
+func (one *server) force(doc *document.Document, origin string) {
+	one.in.say("force %s %d %s %d %s", one.spec.Name, doc.Header().Number, doc.Digest(), time.Now().UnixMicro(), origin)
+}
+
+func (one *server) state() State {
+	one.mu.Lock()
+	defer one.mu.Unlock()
+	if one.follower == nil {
+		return State{Name: one.spec.Name}
+	}
+	s := one.follower.State()
+	return State{Name: one.spec.Name, Number: s.Number, Digest: s.Digest.String(), Sent: s.Sent, Received: s.Received,
+		Applied: s.Applied, Snapshots: s.Snapshots, Switches: s.Switches, Refused: s.Refused, Fork: s.Fork}
+}
+
+// idle is a runner that is never given a run: a hollow server has no callers.
+type idle struct{}
+
+func (idle) Run(*core.Request) {}
--- a/internal/standin/box/box_test.go
+++ b/internal/standin/box/box_test.go
@@ -123,6 +123,39 @@
 	expect(r, "DONE 2 a complete")
 }
 
+// Where it is asked to, a result tells what its run took here.
+func TestEngineTellsWhatARunTook(t *testing.T) {
+	t.Parallel()
+	e, err := Serve(Spec{Cores: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer e.Close()
+	e.TellTook()
+	c, err := net.Dial("tcp", e.Address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(10 * time.Second)) //nolint:errcheck // a TCP connection takes it
+	began := time.Now()
+	io.WriteString(c, "ATTACH 0\r\nRUN a look 7\r\n20000 x\r\n") //nolint:errcheck // it shows
+	r := bufio.NewReader(c)
+	for range 2 { // what greets, and the notice
+		if _, err = r.ReadString('\n'); err != nil {
+			t.Fatal(err)
+		}
+	}
+	line, err := r.ReadString('\n')
+	took, rest := 0, ""
+	if _, bad := fmt.Sscanf(line, "20000 x %d%s", &took, &rest); err != nil || bad != nil && rest != "" {
+		t.Fatalf("%q, %v, %v", line, err, bad)
+	}
+	if took < 20_000 || took > int(time.Since(began).Microseconds()) {
+		t.Errorf("20 ms of work took %d us, by its own word", took)
+	}
+}
+
 // Two faces, one set of cores: what comes by uwsgi shares them with the engine's runs.
 func TestEngineSpeaksUWSGI(t *testing.T) {
 	t.Parallel()
--- a/internal/standin/box/engine.go
+++ b/internal/standin/box/engine.go
@@ -31,6 +31,7 @@
 	names map[string]*running // all that has begun and not ended
 	log   Log
 	keep  bool // a run that is stopped keeps its work
+	tells bool // results end with the time that the run took here
 	over  map[string]bool
 	sent  int      // notices since the start
 	kept  [][]byte // the last of them, for a link that comes back
@@ -107,6 +108,15 @@
 	e.began = f
 }
 
+// TellTook has the result of each run end with a blank and the microseconds that
+// it took here, from its command to its notice, waits of this process included:
+// what a caller waited beyond that was added on the way.
+func (e *Engine) TellTook() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.tells = true
+}
+
 // Cold has the cores come up cold now, from a share of their speed to all of it
 // within that time.
 func (e *Engine) Cold(from float64, within time.Duration) {
@@ -149,6 +159,8 @@
 	}
 	if how != "complete" {
 		r.out = nil
+	} else if e.tells {
+		r.out = fmt.Appendf(r.out, " %d", clock()-r.began)
 	}
 	delete(e.names, r.name)
 	e.notice(fmt.Appendf(nil, "%s %s %d %d\r\n%s\r\n", r.name, how, (now-r.began)/1000, len(r.out), r.out), "DONE")
