--- a/internal/lab/scale/fleetday/callers.go
+++ b/internal/lab/scale/fleetday/callers.go
@@ -43,7 +43,7 @@
 
 // call starts the callers' processes; their requests are due from start on for so long.
 func (r *rig) call(targets []hollow.Target, start time.Time, length time.Duration) ([]*callersProcess, error) {
-	spec := hollow.CallersSpec{Seed: r.form.Seed, Start: start.UnixMicro(), Length: length.Microseconds(), Deadline: deadline.Microseconds(),
+	spec := hollow.CallersSpec{Seed: r.form.Seed, Start: start.UnixMicro(), Length: length.Microseconds(), Deadline: r.form.Deadline.Microseconds(),
 		Slack: slack.Microseconds(), WorkUS: workUS, Targets: targets}
 	for i := range r.content.Teams {
 		spec.Teams = append(spec.Teams, r.content.Teams[i].Name)
--- a/internal/lab/scale/fleetday/day_test.go
+++ b/internal/lab/scale/fleetday/day_test.go
@@ -70,3 +70,14 @@
 		t.Error(r.Last)
 	}
 }
+
+// The short day with all faults: every version in force in order and in time on
+// every server that lives, no request lost.
+func TestShortDay(t *testing.T) {
+	r := play(t, Options{Form: Short()})
+	for _, want := range []string{" disorder=0 missing=0 ", " late=0 lost=0 wrong=0 "} {
+		if !strings.Contains(r.Last, want) {
+			t.Errorf("%q is not in %s", want, r.Last)
+		}
+	}
+}
--- a/internal/lab/scale/fleetday/read.go
+++ b/internal/lab/scale/fleetday/read.go
@@ -102,7 +102,7 @@
 			continue
 		}
 		switch words[0] {
-		case "sent", "received":
+		case "sent_bytes", "received_bytes":
 			t.Bytes += n
 			found = true
 		case "applied":
--- a/internal/lab/scale/fleetday/rig.go
+++ b/internal/lab/scale/fleetday/rig.go
@@ -62,17 +62,18 @@
 
 // newRig prepares a fleet; nothing is started yet.
 func newRig(form *Form, program string, self []string) (*rig, error) {
-	r := &rig{form: form, program: program, self: self, content: Content(form.Sizes, form.Seed)}
+	r := &rig{form: form, program: program, self: self, content: Content(form.Sizes, form.Deadline, form.Seed)}
 	regions := make([]int, form.Servers)
 	for i := range regions {
 		regions[i] = form.regionOf(i)
 	}
 	r.history = newHistory(regions)
+	r.history.Settled = form.Settled
 	var err error
 	if r.dir, err = os.MkdirTemp("", "fleetday"); err != nil {
 		return nil, err
 	}
-	r.sampler = newSampler()
+	r.sampler = newSampler(form.SampleEvery)
 	return r, r.prepare()
 }
 
@@ -206,8 +207,8 @@
 	var now *hollowProcess
 	for i := r.form.Real; i < r.form.Servers; i++ {
 		if now == nil || len(now.spec.Servers) == r.form.HollowPer {
-			now = &hollowProcess{rig: r, name: fmt.Sprint("hollow-", len(r.hollow)), byName: map[string]int{}}
-			now.spec = hollow.ServersSpec{Operator: r.hollowOperator(), Folder: filepath.Join(r.dir, now.name), WaitUS: waitUS,
+			now = &hollowProcess{rig: r, name: fmt.Sprint("hollow-", len(r.hollow)), byName: map[string]int{}, first: i}
+			now.spec = hollow.ServersSpec{Operator: r.hollowOperator(), WaitUS: waitUS,
 				Seed: r.form.Seed + uint64(len(r.hollow))<<48}
 			r.hollow = append(r.hollow, now)
 		}
--- a/internal/lab/scale/hollow/callers.go
+++ b/internal/lab/scale/hollow/callers.go
@@ -58,9 +58,23 @@
 	names   atomic.Uint64
 	open    sync.WaitGroup
 
-	mu  sync.Mutex
-	out *bufio.Writer
-	err error
+	mu   sync.Mutex
+	out  *bufio.Writer
+	err  error
+	says io.Writer
+	said int
+}
+
+// saidMost bounds what a process tells of single requests.
+const saidMost = 10
+
+// tell says what a caller saw.
+func (all *Callers) tell(format string, args ...any) {
+	all.mu.Lock()
+	defer all.mu.Unlock()
+	if all.said++; all.said <= saidMost {
+		fmt.Fprintf(all.says, format+"\n", args...)
+	}
 }
 
 // caller is one of them: it has one connection at most.
@@ -76,7 +90,7 @@
 // RunCallers is the process: it plays what the file at path says, until its
 // time is over or in ends.
 func RunCallers(path string, in io.Reader, out io.Writer) error {
-	all := &Callers{groups: map[int][]int{}}
+	all := &Callers{groups: map[int][]int{}, says: out}
 	if err := read(path, &all.spec); err != nil {
 		return err
 	}
@@ -280,6 +294,10 @@
 			c.leave(l)
 			return false, true
 		}
+		if a.code == frame.Failed {
+			c.all.tell("%s fails a request: %.200q", set.Targets[l.target].Name, a.body)
+			return false, false // the connection is sound
+		}
 		c.leave(l)
 		return false, false
 	case <-timer.C:
--- a/internal/lab/scale/hollow/record.go
+++ b/internal/lab/scale/hollow/record.go
@@ -21,6 +21,15 @@
 	Wrong         // answered with what belongs to something else
 )
 
+// String names a code.
+func (c Code) String() string {
+	names := [...]string{"without an end", "answered", "refused", "late", "lost", "wrong"}
+	if int(c) < len(names) {
+		return names[c]
+	}
+	return fmt.Sprint("code ", uint8(c))
+}
+
 // Record is one request, from the moment it was due to its end.
 type Record struct {
 	Due       int64 // Unix microseconds
