--- a/cmd/kitelab/fleetday.go
+++ b/cmd/kitelab/fleetday.go
@@ -45,13 +45,13 @@
 	if err != nil {
 		return err
 	}
+	report.Write(os.Stdout)
 	if c.Out != "" && !c.Small && !c.WithoutControl {
 		kept.Figures = report.Figures
 		if err = kept.Save(c.Out); err != nil {
 			return err
 		}
 	}
-	report.Write(os.Stdout)
 	if len(report.Short) > 0 {
 		return errShort
 	}
