One processor again where versions are followed; work on large versions gives way

Instead the walks over many entries (document.edit, its digests, config's step) give way after some 100 us, so that the loop runs between them on one processor too.

--- a/cmd/kiteslip/main.go
+++ b/cmd/kiteslip/main.go
@@ -70,7 +70,7 @@
 		return err
 	}
 	defer log.Sync() //nolint:errcheck // standard error cannot always be synced
-	runtime.GOMAXPROCS(processors(cfg))
+	runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Limits.Cores))))
 	debug.SetMemoryLimit(cfg.Limits.Heap())
 	debug.SetGCPercent(gcPercent)
 	var follower *follow.Follower
@@ -92,18 +92,6 @@
 	return s.Serve(signals)
 }
 
-// processors is how many threads may run Go code at once: as many as the platform
-// grants cores. Where versions are followed one more, so that what is worked out
-// beside the loop does not hold it back by whole slices of the scheduler's, 10 ms
-// each: the system shares the core between the two threads far more finely.
-func processors(cfg *config.Config) int {
-	n := max(1, int(math.Ceil(cfg.Limits.Cores)))
-	if cfg.Control.On() {
-		n = max(n, 2)
-	}
-	return n
-}
-
 func logger(level string) (*zap.Logger, error) {
 	at, err := zap.ParseAtomicLevel(level)
 	if err != nil {
--- a/internal/config/draft.go
+++ b/internal/config/draft.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"runtime"
 	"slices"
 	"strings"
 
@@ -258,7 +259,10 @@
 	s.copyTeams()
 	base := s.m.base
 	var dropped []string
-	for _, name := range s.teams {
+	for i, name := range s.teams {
+		if i%64 == 63 {
+			runtime.Gosched() // the loop goes on meanwhile, also where there is one processor
+		}
 		team, there := s.doc.Team(name)
 		known := false
 		if !there {
--- a/internal/control/document/edit.go
+++ b/internal/control/document/edit.go
@@ -122,14 +122,17 @@
 	next := *s
 	txn := s.tree.Txn()
 	for i := range entries {
+		giveWay(i)
 		next.takeOut(txn, &entries[i], &f)
 	}
 	// The tree copies a node once for a run of changes near it, not once for each,
 	// as long as they are not too many: so the entries go in by bucket.
-	for _, i := range byBucket(entries) {
+	for n, i := range byBucket(entries) {
+		giveWay(n)
 		entries[i].putIn(txn)
 	}
 	for i := range entries {
+		giveWay(i)
 		if e := &entries[i]; e.kept() {
 			next.index(txn, e, e.value, &f)
 		}
@@ -160,6 +163,7 @@
 	}
 	entries, seen := make([]entry, 0, len(changes)), make(map[id]bool, len(changes))
 	for i := range changes {
+		giveWay(i)
 		e, err := entryOf(&changes[i])
 		if err != nil {
 			f.add("change[%d] %w", i, err)
@@ -178,6 +182,7 @@
 	}
 	slices.SortStableFunc(entries, byRank)
 	for i := range entries {
+		giveWay(i)
 		about{f: f, entry: &entries[i]}.value()
 	}
 	return entries
@@ -290,6 +295,7 @@
 func (s *state) check(root *iradix.Node[any], entries []entry, f *faults) {
 	pools := false
 	for i := range entries {
+		giveWay(i)
 		e := &entries[i]
 		switch {
 		case e.kind == kindTeam && e.drop:
--- a/internal/control/document/state.go
+++ b/internal/control/document/state.go
@@ -183,7 +183,10 @@
 // digestAgain makes the digests of the touched buckets anew, from s.tree.
 func (s *state) digestAgain(touched map[int]bool) {
 	var own [pageCount]bool
+	n := 0
 	for bucket := range touched {
+		n += giveWayEvery / 4 // a bucket has some twenty entries
+		giveWay(n - 1)
 		at := bucket / pageSize
 		if !own[at] {
 			p := *s.pages[at]
