--- a/internal/lab/scale/fleetday/report.go
+++ b/internal/lab/scale/fleetday/report.go
@@ -207,7 +207,8 @@
 	from, to := s.before()
 	counts := map[hollow.Code]int{}
 	tries, opened, told := 0, 0, 0
-	pairs := added{}
+	pairs, unpressed := added{}, added{}
+	_, pressed := s.phase(Burst) // what comes next is 470 servers' work on this machine's cores at once
 	var late []int32
 	kinds := map[int]string{} // by target: rate and side
 	for i, t := range targets {
@@ -236,6 +237,9 @@
 		}
 		t := targets[rec.Target]
 		pairs[kinds[int(rec.Target)]] = append(pairs[kinds[int(rec.Target)]], rec.Added)
+		if due.Before(pressed) {
+			unpressed[kinds[int(rec.Target)]] = append(unpressed[kinds[int(rec.Target)]], rec.Added)
+		}
 		if int(t.Draws) < r.form.paired() { // its twin gets the same requests
 			pairs["pair "+kinds[int(rec.Target)]] = append(pairs["pair "+kinds[int(rec.Target)]], rec.Added)
 		}
@@ -243,6 +247,12 @@
 	for _, list := range pairs {
 		slices.Sort(list)
 	}
+	for _, kind := range sortedKeys(unpressed) {
+		list := unpressed[kind]
+		slices.Sort(list)
+		s.note("added at %s control before the large change: p50 %.2f ms, p99 %.2f ms, of %d requests", kind,
+			float64(quantile(list, 0.5))/1000, float64(quantile(list, 0.99))/1000, len(list))
+	}
 	slices.Sort(late)
 	gone := counts[hollow.Lost] + counts[hollow.Late] + counts[hollow.Wrong]
 	s.note("requests: %d due, %d answered, %d refused, %d late, %d lost, %d wrong; %d tries, %d connections opened; the callers were late by %d us at the 99th percentile, %d us at most",
