--- a/cmd/kitelab/capacity.go
+++ b/cmd/kitelab/capacity.go
@@ -10,7 +10,7 @@
 
 type capacityCmd struct {
 	Page   string   `default:"docs/CAPACITY.md" help:"The page whose tables are rendered."`
-	Target string   `default:"scenarios/target-fleet.toml" help:"The operators' target."`
+	Target string   `default:"docs/capacity/target-fleet.toml" help:"The operators' target."`
 	Files  []string `default:"docs/capacity/slopes.json,docs/capacity/fleetday.json" help:"What was measured; one that is absent is left out."`
 	Check  bool     `help:"Change nothing, and end with 1 if the page is not what the files give."`
 }
--- a/cmd/kitelab/slopes.go
+++ b/cmd/kitelab/slopes.go
@@ -9,7 +9,7 @@
 
 type slopesCmd struct {
 	Program string   `default:"bin/kiteslip" help:"The program that is measured."`
-	Target  string   `default:"scenarios/target-fleet.toml" help:"The operators' target."`
+	Target  string   `default:"docs/capacity/target-fleet.toml" help:"The operators' target."`
 	Out     string   `default:"docs/capacity/slopes.json" help:"Where the slopes are kept; empty = nowhere."`
 	Short   bool     `help:"Three small sizes, within seconds: its times are no figures, and nothing is kept."`
 	Only    []string `help:"Parts to measure: decision, memory, start, traffic, delta, version, follow, connections, latency. Nothing is kept then."`
--- a/internal/lab/scale/capacity/capacity_test.go
+++ b/internal/lab/scale/capacity/capacity_test.go
@@ -13,7 +13,7 @@
 
 func inputs(t *testing.T, paths ...string) *Inputs {
 	t.Helper()
-	in, err := Load(root+"scenarios/target-fleet.toml", paths...)
+	in, err := Load(root+"docs/capacity/target-fleet.toml", paths...)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/lab/scale/slopes/slopes_test.go
+++ b/internal/lab/scale/slopes/slopes_test.go
@@ -15,7 +15,7 @@
 // small is the target with fewer descriptors, so that few callers are too many.
 func small(t *testing.T) *target.Target {
 	t.Helper()
-	got, err := target.Load("../../../../scenarios/target-fleet.toml")
+	got, err := target.Load("../../../../docs/capacity/target-fleet.toml")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/lab/scale/target/target.go
+++ b/internal/lab/scale/target/target.go
@@ -1,4 +1,4 @@
-// Package target reads the operators' target, scenarios/target-fleet.toml: the
+// Package target reads the operators' target, docs/capacity/target-fleet.toml: the
 // sizes that the system is to carry, what it promises at them, and what is
 // assumed where nobody was told.
 package target
--- a/internal/lab/scale/target/target_test.go
+++ b/internal/lab/scale/target/target_test.go
@@ -7,7 +7,7 @@
 	"testing"
 )
 
-const file = "../../../../scenarios/target-fleet.toml"
+const file = "../../../../docs/capacity/target-fleet.toml"
 
 func TestTheOperatorsTargetIsRead(t *testing.T) {
 	got, err := Load(file)
--- a/policy_order.go
+++ b/policy_order.go
@@ -23,8 +23,8 @@
 // inShare is the part of a tenant's arrivals here that lies within its share. A tenant lags by what it is
 // served of that part: counted by all it asks, a flood would pass for the worst served.
 //
-// Where less than one arrival is due here within the memory, the one that is judged is beyond its share for the
-// most part. Counting one such arrival as within was tried: what the fleet counts as beyond went first then.
+// Where less than one arrival is due here within the memory, most of the one that is judged is beyond its
+// share. Counting one such arrival as within was tried: what the fleet counts as beyond went first then.
 func (w *Worker) inShare(tenant int) float64 {
 	if w.set.Stage > 0 || tenant >= len(w.set.Tenants) {
 		return 1
