--- a/Makefile
+++ b/Makefile
@@ -40,19 +40,28 @@
 measure-keys: build
 	bin/kitelab keys
 
-# Both deployments' quick days in turn, before every landing. The kit lies beside
-# the repository; WHY is one plain sentence that names the change.
+# Both deployments' quick days in turn, then the days of many unlike teams, before
+# every landing. The kit lies beside the repository; WHY is one plain sentence that
+# names the change.
 KIT ?= ../given/kit
 LEAST_accra-lookup = 0.97
 LEAST_sofia-tills = 0.95
+LEAST_many-teams = 0.80
+MANY_TEAMS = deploy/sites/many-teams.toml
 regression:
 	@test -x $(KIT)/real/bin/lbreal || { echo "regression: no kit at $(KIT) (set KIT=FOLDER): nothing was played" >&2; exit 2; }
+	@test -x $(KIT)/more/mass/bin/lbreal || { echo "regression: no mass bench at $(KIT)/more/mass: nothing was played" >&2; exit 2; }
 	@test -n "$(WHY)" || { echo 'regression: say what changed: make regression WHY="one plain sentence"' >&2; exit 2; }
 	@for site in $(KIT)/sites/accra-lookup.toml $(KIT)/users/sofia-tills.toml; do \
 		case $$site in *accra*) least=$(LEAST_accra-lookup);; *) least=$(LEAST_sofia-tills);; esac; \
 		$(KIT)/real/bin/lbreal score $$site --quick --why "$(WHY)" | tee -a /dev/stderr | awk -v least=$$least -v site=$$site \
 			'/^score of the real nodes/ { seen = $$6 } END { if (!(seen + 0 >= least)) { print site ": " seen ", want " least; exit 1 } }' || exit 1; \
 	done
+	@for play in "--panel brink --seed 41" --quick; do \
+		$(KIT)/more/mass/bin/lbreal score $(MANY_TEAMS) $$play --why "$(WHY)" | tee -a /dev/stderr | awk -v least=$(LEAST_many-teams) -v play="$(MANY_TEAMS) $$play" \
+			'/GATE passed/ { gate = 1 } /^ *herd[+]/ { herds++; if ($$NF + 0 < least) { low = low " " $$1 " " $$NF } } /^score of the real nodes/ { seen = $$6 } \
+			END { if (!gate || !herds || low != "" || !(seen + 0 >= least)) { print play ": score " seen ", gate " gate + 0 ", herd days " herds + 0 ", below:" low "; want GATE passed and " least " on each"; exit 1 } }' || exit 1; \
+	done
 
 lint:
 	@test -z "$$(gofmt -l .)" || { gofmt -l .; exit 1; }
