core, server: claims wait while the successor opens its key store

Callers saw: in an upgrade with [keys], the first keyed request that reached the old process while the new one opened its store ended the new process by a nil pointer panic, with all that it held.

Cause: KeysTransferred starts the opening outside the loop, and the core learns of the peer only when that is done. Claims follow the table on the same connection, so they arrive in between, in a state that nothing named; Core.Claimed answered through the peer, which was nil (four places).

Change: the core has a role for the time in between (keyAcquirer). Each connection to a peer has a phase with the messages that it takes. A store that opens after the run has ended is closed again. shutdown_test.go sets the phase instead of the flag that it replaces; it checks what it did.

Ruled out: to set the peer earlier only, since every claim in that time would still fail.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -66,9 +66,10 @@
 
 	withdrawn bool // by an operator
 
-	owner         bool  // this process owns the keys, see keys.go
-	inDoubtUntil  int64 // a previous process may have run keys that arrived up to then
-	peer          Peer  // nil = there is none
+	role          keyRole // concerning the keys, see keys.go
+	inDoubtUntil  int64   // a previous process may have run keys that arrived up to then
+	peer          Peer    // nil = there is none
+	waitingClaims []claim // of the peer, until this process owns the keys
 	awaitingStart map[kiteslip.RequestID]*Request
 }
 
@@ -96,7 +97,7 @@
 	}
 	e, _ := runner.(Engine)
 	return &Core{
-		settings: set, pools: pools, policy: policy, runner: runner, healthy: true, cachedHealth: true, owner: true,
+		settings: set, pools: pools, policy: policy, runner: runner, healthy: true, cachedHealth: true,
 		tracked: map[kiteslip.RequestID]*Request{}, byTryID: map[string]*Request{}, keyTable: map[string]*keyEntry{},
 		awaitingStart: map[kiteslip.RequestID]*Request{}, calls: callState{engine: e, inFlight: map[uint64]*Request{}}, answersByClass: make([]AnswerCounts, len(set.Policy.Classes)),
 	}, nil
--- a/internal/core/journal.go
+++ b/internal/core/journal.go
@@ -79,7 +79,7 @@
 		return
 	}
 	e := c.keyTable[r.entry]
-	if c.journal == nil || !c.owner || !c.keyed(r.Class) || e != nil && e.started != nil && r.Arrived <= e.windowEnd || c.inDoubt(r.Arrived) {
+	if c.journal == nil || !c.OwnsKeys() || !c.keyed(r.Class) || e != nil && e.started != nil && r.Arrived <= e.windowEnd || c.inDoubt(r.Arrived) {
 		c.reportReady(r)
 		return
 	}
@@ -167,7 +167,7 @@
 
 // recordEnd has the end of r recorded and reports whether to wait for that.
 func (c *Core) recordEnd(r *Request) bool {
-	if c.journal == nil || !c.owner || !c.keyed(r.Class) {
+	if c.journal == nil || !c.OwnsKeys() || !c.keyed(r.Class) {
 		return false
 	}
 	rec := c.recordOf(r, c.windowEndOf(r))
@@ -183,7 +183,7 @@
 
 // rewriteRecord writes the record again after its window has become longer.
 func (c *Core) rewriteRecord(e *keyEntry) {
-	if c.journal == nil || !c.owner {
+	if c.journal == nil || !c.OwnsKeys() {
 		return
 	}
 	if rec := c.recordOf(e.started, e.windowEnd); rec.Finished {
--- a/internal/core/keys.go
+++ b/internal/core/keys.go
@@ -33,6 +33,17 @@
 	OutcomeUnknown     bool // it was started by an earlier process, and its outcome is unknown
 }
 
+// keyRole says what this process may decide about keyed runs.
+type keyRole uint8
+
+// The roles. A process starts as the owner; ReleaseKeys makes it a claimant,
+// BeginAcquire an acquirer, and AcquireKeys the owner again.
+const (
+	keyOwner    keyRole = iota // it decides which keyed runs may start
+	keyClaimant                // it claims each keyed run from the peer; without a peer its keyed requests fail
+	keyAcquirer                // the keys were transferred to it, and it can't decide yet: its own keyed requests fail, the peer's claims wait
+)
+
 // maxClaimsPerRun limits the peer's claims that wait for one run.
 const maxClaimsPerRun = 1024
 
@@ -42,13 +53,28 @@
 	return binary.BigEndian.Uint64(bodyHash[:])
 }
 
+// BeginAcquire says that peer has transferred the keys to this process, which can't
+// decide about them yet, for instance because it opens its key store. Claims of peer
+// wait until AcquireKeys, AbandonAcquire or PeerLost, at most until no caller can
+// wait for them.
+func (c *Core) BeginAcquire(peer Peer) { c.role, c.peer = keyAcquirer, peer }
+
+// AbandonAcquire says that this process can't acquire the keys: claims that wait fail.
+func (c *Core) AbandonAcquire() {
+	c.failWaitingClaims()
+	c.role, c.peer = keyClaimant, nil
+}
+
 // AcquireKeys makes this process the key owner. Keyed requests that arrived by
 // inDoubtUntil may have been run by an earlier process without a record here; 0 =
 // there are none.
-func (c *Core) AcquireKeys(inDoubtUntil int64) { c.owner, c.inDoubtUntil = true, inDoubtUntil }
+func (c *Core) AcquireKeys(inDoubtUntil int64) {
+	c.role, c.inDoubtUntil = keyOwner, inDoubtUntil
+	c.answerWaitingClaims()
+}
 
 // OwnsKeys reports whether this process is the key owner.
-func (c *Core) OwnsKeys() bool { return c.owner }
+func (c *Core) OwnsKeys() bool { return c.role == keyOwner }
 
 // ReleaseKeys gives up the ownership: from now on keyed runs start only if peer
 // grants them; nil = there is no peer to ask. It returns the end of the in-doubt
@@ -59,12 +85,15 @@
 			c.deleteRecord(r) // the next owner records it when it is claimed
 		}
 	}
-	c.owner, c.peer = false, peer
+	c.role, c.peer = keyClaimant, peer
 	return c.inDoubtUntil
 }
 
 // SetPeer sets the peer, which sends claims to this process.
-func (c *Core) SetPeer(peer Peer) { c.peer = peer }
+func (c *Core) SetPeer(peer Peer) {
+	c.peer = peer
+	c.answerWaitingClaims()
+}
 
 // MaxWindow returns the longest window of any class, with the margin.
 func (c *Core) MaxWindow() int64 {
@@ -125,34 +154,13 @@
 // inDoubt reports whether another process may have run the key of a request that
 // arrived then, and there is no peer to ask.
 func (c *Core) inDoubt(arrived int64) bool {
-	return c.owner && arrived <= c.inDoubtUntil || !c.owner && c.peer == nil
-}
-
-// Claimed answers a claim of the peer, which asks the key owner to start a run.
-func (c *Core) Claimed(id uint32, class int, key string, arrived int64, bodyHash uint64) {
-	e := c.keyTable[entryName(class, key)]
-	switch {
-	case !c.owner || !c.keyed(class):
-		c.peer.Deny(id, kiteslip.Failed, nil)
-	case e != nil && e.started != nil && (arrived <= max(e.windowEnd, e.duplicatesUntil) || e.started.phase == running && e.started.bodyHash == bodyHash):
-		switch r := e.started; {
-		case r.bodyHash != bodyHash || r.phase == running && len(r.peerClaims) >= maxClaimsPerRun:
-			c.peer.Deny(id, kiteslip.Failed, nil)
-		case r.phase == running || r.recordingEnd:
-			r.peerClaims = append(r.peerClaims, id)
-		default:
-			c.peer.Deny(id, r.outcome, r.result)
-		}
-	case c.inDoubt(arrived) || e != nil && e.holder != nil && e.holder.phase == queued && !e.holder.answered && e.holder.bodyHash != bodyHash:
-		c.peer.Deny(id, kiteslip.Failed, nil)
+	switch c.role {
+	case keyOwner:
+		return arrived <= c.inDoubtUntil
+	case keyAcquirer:
+		return true
 	default:
-		r := c.addRemoteRun(class, key, arrived, arrived+c.settings.Policy.Classes[class].Window+keyMarginUS, bodyHash)
-		if c.journal != nil {
-			c.pendingGrants[r.id] = pendingGrant{r, id}
-			c.recordStart(r)
-			return
-		}
-		c.peer.Grant(id)
+		return c.peer == nil
 	}
 }
 
@@ -165,7 +173,7 @@
 	delete(c.awaitingStart, r.id)
 	if r.answered {
 		c.endUnstarted(r, kiteslip.NotStarted, nil)
-		if !c.owner && c.peer != nil {
+		if c.role == keyClaimant && c.peer != nil {
 			c.peer.RunEnded(r.Class, r.Key, r.Arrived, kiteslip.NotStarted, nil)
 		}
 		return
@@ -222,7 +230,8 @@
 		}
 	}
 	clear(c.pendingGrants)
-	if c.owner {
+	c.waitingClaims = nil
+	if c.OwnsKeys() {
 		return // requests in awaitingStart wait for this process's own journal
 	}
 	for id, r := range c.awaitingStart {
@@ -237,7 +246,7 @@
 	if c.peer == nil {
 		return
 	}
-	if !c.owner && !r.remote && c.keyed(r.Class) {
+	if c.role == keyClaimant && !r.remote && c.keyed(r.Class) {
 		c.peer.RunEnded(r.Class, r.Key, r.Arrived, r.outcome, r.result)
 	}
 	for _, id := range r.peerClaims {
--- a/internal/core/keys_test.go
+++ b/internal/core/keys_test.go
@@ -13,6 +13,8 @@
 	sides        [2]*harness // predecessor and successor
 	inTransit    [2][]func(to *Core)
 	disconnected bool
+	storeOpening bool  // the successor has received all keys and opens its key store
+	inDoubtUntil int64 // sent with the keys
 }
 
 // pairPeer sends messages from one side to the other.
@@ -55,6 +57,34 @@
 	pairPeer{p, 0}.send(func(to *Core) { to.AcquireKeys(inDoubtUntil); to.SetPeer(pairPeer{p, 1}) })
 }
 
+// handOverWithStore sends the keys like handOver, to a successor that then opens a key
+// store and owns the keys only after storeOpened.
+func (p *processPair) handOverWithStore() {
+	predecessor := p.sides[0].core
+	p.inDoubtUntil = predecessor.ReleaseKeys(pairPeer{p, 0})
+	for r := range predecessor.Records {
+		pairPeer{p, 0}.send(func(to *Core) { to.ImportRecord(r) })
+	}
+	pairPeer{p, 0}.send(func(to *Core) {
+		p.storeOpening = true
+		to.BeginAcquire(pairPeer{p, 1})
+	})
+}
+
+// storeOpened ends the opening of the successor's key store, with success or not.
+func (p *processPair) storeOpened(ok bool) {
+	p.storeOpening = false
+	successor := p.sides[1].core
+	if !ok {
+		successor.AbandonAcquire()
+		return
+	}
+	successor.AcquireKeys(p.inDoubtUntil)
+	if !p.disconnected {
+		successor.SetPeer(pairPeer{p, 1})
+	}
+}
+
 // deliver delivers the next message from one side.
 func (p *processPair) deliver(from int) {
 	if len(p.inTransit[from]) > 0 {
@@ -93,6 +123,17 @@
 					p.handOver()
 				}
 			},
+			"hand with store": func(t *rapid.T) {
+				if !handedOver && !p.disconnected {
+					handedOver = true
+					p.handOverWithStore()
+				}
+			},
+			"store": func(t *rapid.T) {
+				if p.storeOpening {
+					p.storeOpened(rapid.IntRange(0, 3).Draw(t, "fails") > 0)
+				}
+			},
 			"deliver": func(t *rapid.T) {
 				from := rapid.IntRange(0, 1).Draw(t, "from")
 				for range rapid.IntRange(1, 9).Draw(t, "messages") {
@@ -113,13 +154,16 @@
 				p.disconnected = true
 				dead := rapid.IntRange(0, 1).Draw(t, "dies")
 				p.inTransit = [2][]func(*Core){}
+				if dead == 1 {
+					p.storeOpening = false
+				}
 				for i, h := range p.sides {
 					h.core.PeerLost()
 					if i == dead {
 						h.core.ReleaseKeys(nil) // it starts no more runs
 						continue
 					}
-					if !h.core.OwnsKeys() {
+					if !h.core.OwnsKeys() && !p.storeOpening {
 						h.core.AcquireKeys(h.now + h.core.MaxWindow())
 					}
 				}
@@ -294,6 +338,91 @@
 	}
 }
 
+// Claims that arrive while the successor opens its key store wait and are granted once
+// it owns the keys, in their order, and only once for a key. The failure: every keyed
+// request that the predecessor reads in that time fails.
+func TestClaimsWaitForKeyStore(t *testing.T) {
+	p := newPair(t)
+	predecessor, successor := p.sides[0], p.sides[1]
+	p.handOverWithStore()
+	first := predecessor.submit(1, "first", 0, 1_000_000)
+	second := predecessor.submit(1, "second", 0, 1_000_000)
+	predecessor.advance(5_000)
+	own := successor.submit(1, "own", 0, 1_000_000)
+	for range 9 {
+		p.deliver(0)
+	}
+	p.advance(200_000)
+	if len(p.inTransit[1]) != 0 || predecessor.ran[first] || predecessor.ran[second] {
+		t.Fatal("a claim is answered while the key store opens")
+	}
+	if got := successor.answers[own]; len(got) != 1 || got[0].Code != Failed || successor.ran[own] {
+		t.Errorf("keyed request of the process that opens its store: got %+v, want failed without a run", got)
+	}
+	p.storeOpened(true)
+	for range 9 {
+		p.deliver(1)
+	}
+	p.advance(5_000)
+	for len(predecessor.running) > 0 {
+		predecessor.finish(0, kiteslip.OK)
+	}
+	p.advance(5_000)
+	for _, r := range []*Request{first, second} {
+		if got := predecessor.answers[r]; len(got) != 1 || got[0].Code != Served || !predecessor.ran[r] {
+			t.Errorf("%s: got %+v, want served by its own run", r.Key, got)
+		}
+	}
+	for range 9 {
+		p.deliver(0)
+	}
+	again := successor.submit(1, "first", 0, 1_000_000)
+	successor.advance(5_000)
+	if got := successor.answers[again]; len(got) != 1 || got[0].Code != Served || successor.ran[again] {
+		t.Errorf("a further try at the successor: got %+v, want the result of the run", got)
+	}
+}
+
+// Claims that wait end when the store can't be opened, when the peer is lost and when
+// nobody waits for them any more, and their number is bounded. Each keyed request then
+// has its one answer, and none has run.
+func TestWaitingClaimsEnd(t *testing.T) {
+	for name, end := range map[string]func(p *processPair){
+		"store not opened": func(p *processPair) { p.storeOpened(false) },
+		"expired":          func(p *processPair) { p.sides[1].advance(MaxWaitMultiple * 60_000_000) },
+		"peer lost":        func(p *processPair) { p.sides[0].core.PeerLost(); p.sides[1].core.PeerLost() },
+	} {
+		p := newPair(t)
+		predecessor, successor := p.sides[0], p.sides[1]
+		p.handOverWithStore()
+		r := predecessor.submit(1, "k", 0, 1_000_000)
+		predecessor.advance(5_000)
+		for range 9 {
+			p.deliver(0)
+		}
+		if len(successor.core.waitingClaims) != 1 {
+			t.Fatalf("%s: %d claims wait, want 1", name, len(successor.core.waitingClaims))
+		}
+		end(p)
+		for range 9 {
+			p.deliver(1)
+		}
+		predecessor.advance(5_000)
+		if got := predecessor.answers[r]; len(got) != 1 || got[0].Code != Failed || predecessor.ran[r] || len(successor.core.waitingClaims) != 0 {
+			t.Errorf("%s: got %+v, %d claims wait; want failed at once without a run, and none", name, got, len(successor.core.waitingClaims))
+		}
+	}
+	p := newPair(t)
+	successor := p.sides[1].core
+	successor.BeginAcquire(pairPeer{p, 1})
+	for i := range maxWaitingClaims + 10 {
+		successor.Claimed(uint32(i+1), 1, "k", p.sides[1].now, 1)
+	}
+	if waiting, denied := len(successor.waitingClaims), len(p.inTransit[1]); waiting != maxWaitingClaims || denied != 10 {
+		t.Errorf("%d claims wait and %d are denied, want %d and 10", waiting, denied, maxWaitingClaims)
+	}
+}
+
 // A key sent with different bodies to the two processes serves neither with the
 // result of the other.
 func TestBodiesOfOneKeyAcrossProcesses(t *testing.T) {
--- a/internal/core/runs.go
+++ b/internal/core/runs.go
@@ -127,12 +127,12 @@
 	}
 	r.phase, r.startedAt, r.everStarted = running, now, true
 	c.markChanged(r)
-	if class.Effect == kiteslip.Keyed && c.owner && c.journal != nil && !r.recorded {
+	if class.Effect == kiteslip.Keyed && c.OwnsKeys() && c.journal != nil && !r.recorded {
 		c.awaitingStart[r.id] = r // it was not prepared: it holds its running slot while its start is recorded
 		c.recordStart(r)
 		return
 	}
-	if class.Effect == kiteslip.Keyed && !c.owner {
+	if class.Effect == kiteslip.Keyed && !c.OwnsKeys() {
 		c.awaitingStart[r.id] = r
 		c.peer.Claim(uint32(r.id), r.Class, r.Key, r.Arrived, r.bodyHash)
 		return
--- a/internal/core/step.go
+++ b/internal/core/step.go
@@ -55,6 +55,7 @@
 	c.answerOverdue(now)
 	c.updatePools(now)
 	c.expireKeys(now)
+	c.expireClaims(now)
 }
 
 // apply carries out one action of the policy.
--- a/internal/core/submit.go
+++ b/internal/core/submit.go
@@ -105,7 +105,7 @@
 		return false
 	}
 	e := c.keyTable[r.entry]
-	return !c.keyed(r.Class) || c.owner && !c.inDoubt(r.Arrived) && (e == nil || e.started == nil)
+	return !c.keyed(r.Class) || c.OwnsKeys() && !c.inDoubt(r.Arrived) && (e == nil || e.started == nil)
 }
 
 // keyConflict reports whether the key of r stands for a request with another
--- a/internal/server/keys.go
+++ b/internal/server/keys.go
@@ -145,19 +145,29 @@
 	}
 	s.keys.opening = true
 	go func() {
-		var store *keystore.Store
-		var records []keystore.Record
-		var err error
-		for !s.ended.Load() {
-			if store, records, err = s.openKeyStore(); !errors.Is(err, keystore.ErrInUse) {
-				break
+		store, records, err := s.awaitKeyStore()
+		if s.ended.Load() { // nothing runs on the loop any more
+			if store != nil {
+				store.Close() //nolint:errcheck // it was not used
 			}
-			time.Sleep(keyStoreRetryInterval)
+			return
 		}
 		s.onLoop(func() { s.keyStoreOpened(store, records, err, inDoubtUntil) })
 	}()
 }
 
+// awaitKeyStore opens the store once no other process uses it, or until the run has
+// ended. It blocks.
+func (s *Server) awaitKeyStore() (store *keystore.Store, records []keystore.Record, err error) {
+	for !s.ended.Load() {
+		if store, records, err = s.openKeyStore(); !errors.Is(err, keystore.ErrInUse) {
+			break
+		}
+		time.Sleep(keyStoreRetryInterval)
+	}
+	return store, records, err
+}
+
 // keyStoreOpened imports the records of the opened store and completes the
 // acquisition of the keys.
 func (s *Server) keyStoreOpened(store *keystore.Store, records []keystore.Record, err error, inDoubtUntil int64) {
@@ -167,8 +177,10 @@
 		s.log.Error("key store failed to open", zap.Error(err))
 		if s.cfg.Keys.AllowUnrecorded {
 			s.ownershipTaken(max(inDoubtUntil, now()+s.core.MaxWindow()))
+		} else {
+			s.ownershipFailed() // keyed requests fail: what ran is not known
 		}
-		return // without ownership keyed requests fail: what ran is not known
+		return
 	}
 	if s.recordedAll(store, inDoubtUntil) {
 		inDoubtUntil = 0
--- a/internal/server/peer_conn.go
+++ b/internal/server/peer_conn.go
@@ -17,11 +17,11 @@
 	s             *Server
 	conn          gnet.Conn
 	successor     bool // the peer is the successor
+	phase         handoverPhase
 	out           []byte
 	disconnected  bool
 	lastContactAt int64
-	sendingTable  bool               // the key table is being sent
-	storeClosing  bool               // ... once the key store is closed
+	storeClosing  bool               // in the phase sendingKeys: the key store is being closed
 	table         []core.Record      // records still to be sent, before the message KeysTransferred
 	inDoubtUntil  int64              // sent with that message
 	afterTable    []handover.Message // messages to send after that one
@@ -29,6 +29,9 @@
 
 func (p *peerConn) opened(c gnet.Conn) {
 	p.conn, p.lastContactAt = c, now()
+	if p.successor {
+		p.phase = awaitingHello
+	}
 	if p.s.upgrade.peerConns++; p.s.upgrade.peerConns > maxPeerConns || !p.successor && p.s.upgrade.peer != nil {
 		p.s.onLoop(func() {
 			if !p.disconnected {
@@ -86,68 +89,75 @@
 
 // handleMessage handles one message; an error ends the connection.
 func (p *peerConn) handleMessage(m *handover.Message) error {
-	s, u := p.s, &p.s.upgrade
-	if m.Kind == handover.Hello {
-		if !p.successor || m.Text != s.cfg.Name || u.peer == p || u.waitingSuccessor != nil {
-			return fmt.Errorf("%w: %q asks for the keys", errUnexpectedMessage, m.Text)
-		}
-		u.waitingSuccessor = p
-		s.handOverKeys()
-		return nil
-	}
-	if u.peer != p {
-		return errUnexpectedMessage
-	}
-	class, known := -1, false
-	switch m.Kind {
-	case handover.Record, handover.Claim, handover.RunEnded:
-		if class, known = s.keyedClasses[m.Text]; !known { // a class that only the peer has
-			switch m.Kind {
-			case handover.Claim:
-				p.Deny(m.ID, kiteslip.Failed, nil)
-			case handover.Record:
-				if u.importedRecords++; u.importedRecords > maxImportedRecords {
-					return errUnexpectedMessage
-				}
-				u.unknownClassKeys = append(u.unknownClassKeys, *m)
-			}
-			return nil
-		}
-	}
-	if m.Outcome > uint8(kiteslip.NotStarted) {
-		return errUnexpectedMessage
+	if !p.phase.accepts(m.Kind) || m.Outcome > uint8(kiteslip.NotStarted) {
+		return fmt.Errorf("%w: kind %d with outcome %d in phase %d", errUnexpectedMessage, m.Kind, m.Outcome, p.phase)
 	}
 	switch m.Kind {
+	case handover.Hello:
+		return p.handleHello(m)
 	case handover.Record:
-		if p.successor || s.core.OwnsKeys() || u.importedRecords >= maxImportedRecords {
-			return errUnexpectedMessage
-		}
-		u.importedRecords++
-		s.core.ImportRecord(coreRecord(class, m))
+		return p.handleRecord(m)
 	case handover.KeysTransferred:
-		if p.successor || s.core.OwnsKeys() {
-			return errUnexpectedMessage
-		}
-		s.takeOwnership(m.WindowEnd)
+		p.s.acquireTransferredKeys(p, m.WindowEnd)
 	case handover.Claim:
-		s.core.Claimed(m.ID, class, m.Key, m.Arrived, m.BodyHash)
+		p.handleClaim(m)
 	case handover.RunEnded:
-		s.core.PeerRunEnded(class, m.Key, m.Arrived, kiteslip.Outcome(m.Outcome), m.Result)
+		if class, known := p.s.keyedClasses[m.Text]; known {
+			p.s.core.PeerRunEnded(class, m.Key, m.Arrived, kiteslip.Outcome(m.Outcome), m.Result)
+		}
 	case handover.Grant:
-		s.core.Granted(now(), m.ID)
+		p.s.core.Granted(now(), m.ID)
 	case handover.Deny:
-		s.core.Denied(m.ID, kiteslip.Outcome(m.Outcome), m.Result)
+		p.s.core.Denied(m.ID, kiteslip.Outcome(m.Outcome), m.Result)
 	case handover.Load:
-		s.core.SetPeerLoad(int(m.Runs), float64(m.MemoryKB))
+		if p.s.upgrade.peer == p {
+			p.s.core.SetPeerLoad(int(m.Runs), float64(m.MemoryKB))
+		}
+	}
+	p.s.scheduleIteration()
+	return nil
+}
+
+// handleHello handles a successor's request for the keys.
+func (p *peerConn) handleHello(m *handover.Message) error {
+	u := &p.s.upgrade
+	if m.Text != p.s.cfg.Name || u.waitingSuccessor != nil {
+		return fmt.Errorf("%w: %q asks for the keys", errUnexpectedMessage, m.Text)
+	}
+	p.phase, u.waitingSuccessor = awaitingTurn, p
+	p.s.handOverKeys()
+	return nil
+}
+
+// handleRecord handles a key record of the predecessor.
+func (p *peerConn) handleRecord(m *handover.Message) error {
+	u := &p.s.upgrade
+	if u.importedRecords >= maxImportedRecords {
+		return fmt.Errorf("%w: more than %d key records", errUnexpectedMessage, maxImportedRecords)
+	}
+	u.importedRecords++
+	if class, known := p.s.keyedClasses[m.Text]; known {
+		p.s.core.ImportRecord(coreRecord(class, m))
+	} else {
+		u.unknownClassKeys = append(u.unknownClassKeys, *m)
 	}
-	s.scheduleIteration()
 	return nil
 }
 
+// handleClaim handles a claim of the predecessor.
+func (p *peerConn) handleClaim(m *handover.Message) {
+	class, known := p.s.keyedClasses[m.Text]
+	if !known || p.phase == withoutKeys {
+		p.Deny(m.ID, kiteslip.Failed, nil)
+		return
+	}
+	p.s.core.Claimed(m.ID, class, m.Key, m.Arrived, m.BodyHash)
+}
+
 // send queues a message for the end of the loop iteration, or behind a key table
 // that is being sent.
 func (p *peerConn) send(m *handover.Message) {
-	if p.sendingTable {
+	if p.phase == sendingKeys {
 		p.afterTable = append(p.afterTable, *m)
 		return
 	}
@@ -211,7 +221,7 @@
 // sendTable sends as much of the key table as the peer keeps up with, so that a
 // large table is never buffered as a whole.
 func (p *peerConn) sendTable() {
-	if !p.sendingTable || p.storeClosing {
+	if p.phase != sendingKeys || p.storeClosing || p.disconnected {
 		return
 	}
 	for len(p.table) > 0 && len(p.out)+p.conn.OutboundBuffered() < maxTableBytesInFlight {
@@ -221,7 +231,7 @@
 		p.table = p.table[1:]
 	}
 	if len(p.table) == 0 {
-		p.sendingTable, p.table = false, nil
+		p.phase, p.table = keysSent, nil
 		p.queueMessage(&handover.Message{Kind: handover.KeysTransferred, WindowEnd: p.inDoubtUntil})
 		for i := range p.afterTable {
 			p.queueMessage(&p.afterTable[i])
--- a/internal/server/shutdown_test.go
+++ b/internal/server/shutdown_test.go
@@ -197,7 +197,7 @@
 	predecessor.waitReady(t)
 	successor := launch(t, shared.processConfig(t, engines[1].Address, ""))
 	successor.waitReady(t)
-	predecessor.onLoopWait(func() { predecessor.upgrade.peer.sendingTable, predecessor.upgrade.peer.storeClosing = true, true }) // as while the key store is closing
+	predecessor.onLoopWait(func() { predecessor.upgrade.peer.phase, predecessor.upgrade.peer.storeClosing = sendingKeys, true }) // as while the key store is closing
 	predecessor.signals <- syscall.SIGTERM
 	predecessor.signals = nil
 	for noticed, iterations := false, 0; iterations < 20; {
@@ -210,7 +210,7 @@
 			t.Fatal("the process ended before the keys were handed over")
 		}
 	}
-	predecessor.onLoopWait(func() { predecessor.upgrade.peer.sendingTable, predecessor.upgrade.peer.storeClosing = false, false })
+	predecessor.onLoopWait(func() { predecessor.upgrade.peer.phase, predecessor.upgrade.peer.storeClosing = keysSent, false })
 	if err := <-predecessor.serveErr; err != nil {
 		t.Error(err)
 	}
--- a/internal/server/upgrade.go
+++ b/internal/server/upgrade.go
@@ -82,12 +82,17 @@
 	return last.UnixMicro() + s.core.MaxWindow()
 }
 
-// takeOwnership acquires the keys, unless another process owns them.
-func (s *Server) takeOwnership(inDoubtUntil int64) {
-	if s.upgrade.endpoint.TryLock() {
-		s.acquireKeys(inDoubtUntil)
+// acquireTransferredKeys acquires the keys that the predecessor p has transferred.
+// Where another process owns them by now, this one stays without.
+func (s *Server) acquireTransferredKeys(p *peerConn, inDoubtUntil int64) {
+	if !s.upgrade.endpoint.TryLock() {
+		p.phase = withoutKeys
+		s.log.Warn("upgrade: another process owns the keys that the predecessor has transferred")
+		return
 	}
-	s.scheduleIteration()
+	p.phase = acquiringKeys
+	s.core.BeginAcquire(p)
+	s.acquireKeys(inDoubtUntil)
 }
 
 // ownershipTaken completes the acquisition of the keys; the key store, if there is
@@ -96,12 +101,22 @@
 	s.log.Info("key ownership acquired", zap.Int64("doubt_ms", max(0, (inDoubtUntil-now())/1000)))
 	s.core.AcquireKeys(inDoubtUntil)
 	if p := s.upgrade.peer; p != nil {
+		p.phase = owningKeys
 		s.core.SetPeer(p)
 	}
 	s.awaitSuccessor()
 	s.scheduleIteration()
 }
 
+// ownershipFailed gives up the acquisition of the keys: the key store can't be opened.
+func (s *Server) ownershipFailed() {
+	s.core.AbandonAcquire()
+	if p := s.upgrade.peer; p != nil && p.phase == acquiringKeys {
+		p.phase = withoutKeys
+	}
+	s.scheduleIteration()
+}
+
 // handOverKeys hands the keys to a successor that waits for them, also during a
 // drain, once this process owns them and has no other peer.
 func (s *Server) handOverKeys() {
@@ -116,7 +131,7 @@
 	if err := u.endpoint.Unlock(); err != nil {
 		s.log.Error("upgrade", zap.Error(err))
 	}
-	p.sendingTable, p.storeClosing = true, true
+	p.phase, p.storeClosing = sendingKeys, true
 	s.releaseKeyStore(func() {
 		p.table, p.inDoubtUntil, p.storeClosing = slices.Collect(s.core.Records), inDoubtUntil, false
 		s.log.Info("keys handed over to the successor", zap.Int("keys", len(p.table)))
@@ -168,7 +183,7 @@
 		}
 		if u.endpoint.TryLock() {
 			u.keysHandedOver = false
-			s.takeOwnership(t + s.core.MaxWindow())
+			s.acquireKeys(t + s.core.MaxWindow())
 		} else if !u.keysHandedOver && !u.dialingOwner {
 			u.dialingOwner = true // the owner may answer by now
 			go s.redialOwner()
@@ -220,7 +235,7 @@
 			return false
 		}
 	}
-	if p := s.upgrade.peer; p != nil && (p.sendingTable || len(p.out) > 0) {
+	if p := s.upgrade.peer; p != nil && (p.phase == sendingKeys || len(p.out) > 0) {
 		return false // the key table is still being sent
 	}
 	return s.core.KeyedRuns() == 0
