control/protocol: the Reader keeps all that was read ahead of a long record

Followers that get several records over 32 KB in one burst lost bytes or a whole record, and began again; a server could find its stored deltas corrupt at a restart.

Cause: after a record over maxIdleBufferBytes the decoder is replaced, and what it had read ahead is set aside for the next one. Where the next one had not taken all of it before another long record came, the remainder was overwritten. The remainder now follows what is set aside.

--- a/internal/control/protocol/records.go
+++ b/internal/control/protocol/records.go
@@ -64,7 +64,7 @@
 	if err != nil {
 		return fmt.Errorf("protocol: %w", err)
 	}
-	s.from.ahead = rest
+	s.from.ahead = append(rest, s.from.ahead...) // the decoder may not have read all of the earlier ahead
 	s.dec, s.consumed = decoder.NewDecoder(&s.from), 0
 	return nil
 }
--- a/internal/control/protocol/records_test.go
+++ b/internal/control/protocol/records_test.go
@@ -57,6 +57,36 @@
 	})
 }
 
+// TestReadAheadIsKept: a long record is followed by several that are over
+// maxIdleBufferBytes too. The failure: after each one the Reader sets aside what was
+// read ahead, and the second one lost what the decoder had not taken of it yet.
+func TestReadAheadIsKept(t *testing.T) {
+	sizes := []int{140_000}
+	for range 8 {
+		sizes = append(sizes, maxIdleBufferBytes+300)
+	}
+	var wire bytes.Buffer
+	w := NewWriter(&wire)
+	for i, size := range sizes {
+		if err := w.Write(&PublisherMessage{Snapshot: bytes.Repeat([]byte{byte(i)}, size)}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	r := NewReader(&wire)
+	for i, size := range sizes {
+		var got PublisherMessage
+		if err := r.Read(&got); err != nil {
+			t.Fatalf("record %d of %d: %v", i, len(sizes), err)
+		}
+		if !bytes.Equal(got.Snapshot, bytes.Repeat([]byte{byte(i)}, size)) {
+			t.Fatalf("record %d: %d bytes, want %d of %d", i, len(got.Snapshot), size, i)
+		}
+	}
+	if err := r.Read(new(PublisherMessage)); err != io.EOF {
+		t.Fatalf("at the end: %v", err)
+	}
+}
+
 // TestRecordTruncated: a sequence that ends within a record is reported as such,
 // wherever it ends.
 func TestRecordTruncated(t *testing.T) {
