core: claims of a lost peer are forgotten

Callers could see: a keyed request answered with the result of another key, in an upgrade that follows soon on another one.

Cause: the owner keeps claims of its peer on a run in progress. PeerLost dropped the peer and the grants in preparation, but not these; when the run ended they were answered to the next peer, which takes the number for one of its own requests and answers that, if it waits for its record, with the foreign result.

Found by reading, while looking for messages that arrive in a state entered after they were set up; forced by TestClaimsOfLostPeerAreForgotten, which failed before with 2 messages to the new peer. PeerLost forgets the claims.

--- a/internal/core/keys.go
+++ b/internal/core/keys.go
@@ -221,11 +221,16 @@
 }
 
 // PeerLost reports that the peer is disconnected or silent. Its runs end without a
-// result, and claims that it has not answered fail.
+// result, claims that it has not answered fail, and its own claims are forgotten: a
+// later peer numbers its requests anew.
 func (c *Core) PeerLost() {
 	c.peer = nil
 	for _, e := range c.keyTable {
-		if e.started != nil && e.started.remote && e.started.phase == running {
+		if e.started == nil {
+			continue
+		}
+		e.started.peerClaims = nil
+		if e.started.remote && e.started.phase == running {
 			c.Done(e.started, kiteslip.Failed, 0, nil)
 		}
 	}
--- a/internal/core/keys_test.go
+++ b/internal/core/keys_test.go
@@ -423,6 +423,32 @@
 	}
 }
 
+// The owner's run ends after the peer that had claimed its key was lost and another
+// peer has come. The failure: the answer to the old claim went to the new peer, which
+// answered one of its own requests, under the same number, with the result of another key.
+func TestClaimsOfLostPeerAreForgotten(t *testing.T) {
+	p := newPair(t)
+	predecessor, owner := p.sides[0], p.sides[1]
+	p.handOver()
+	p.deliver(0)
+	owner.submit(1, "k", 0, 1_000_000)
+	owner.advance(5_000)
+	claimed := predecessor.submit(1, "k", 0, 1_000_000)
+	predecessor.advance(5_000)
+	p.deliver(0)
+	predecessor.core.PeerLost()
+	owner.core.PeerLost()
+	if got := predecessor.answers[claimed]; len(got) != 1 || got[0].Code != Failed {
+		t.Errorf("claimed request of the lost peer: got %+v, want failed", got)
+	}
+	next := &processPair{sides: [2]*harness{owner, newHarness(t)}}
+	owner.core.ReleaseKeys(pairPeer{next, 0})
+	owner.finish(0, kiteslip.OK)
+	if n := len(next.inTransit[0]); n != 1 {
+		t.Errorf("%d messages to the new peer, want only the end of the run", n)
+	}
+}
+
 // A key sent with different bodies to the two processes serves neither with the
 // result of the other.
 func TestBodiesOfOneKeyAcrossProcesses(t *testing.T) {
