server: a key store is opened again only after its closing was handled

Callers could see, after a crash: a keyed request that ran a second time, as its first run had no record.

Found by reading for events that arrive in a state entered after they were set up; forced by TestKeyStoreReopensWhileItCloses, which failed before (a keyed request ran without a record).

--- a/internal/server/key_acquisition_test.go
+++ b/internal/server/key_acquisition_test.go
@@ -267,3 +267,69 @@
 		})
 	}
 }
+
+// slowUnlockFS is a file system on which closing a key store releases its lock at once
+// and then takes until finish is closed.
+type slowUnlockFS struct {
+	vfs.FS
+	finish chan struct{}
+}
+
+// slowUnlock is the lock of a store on a slowUnlockFS.
+type slowUnlock struct {
+	io.Closer
+	finish chan struct{}
+}
+
+func (f slowUnlockFS) Lock(name string) (io.Closer, error) {
+	lock, err := f.FS.Lock(name)
+	if err != nil {
+		return nil, err
+	}
+	return slowUnlock{lock, f.finish}, nil
+}
+
+func (l slowUnlock) Close() error {
+	err := l.Closer.Close()
+	<-l.finish
+	return err
+}
+
+// A process hands its keys over and takes them back, as it does when its successor
+// dies at once, while its key store is still being closed. The failure: the end of the
+// closing removed the journal of the store that was open again, and keyed requests ran
+// without a record.
+func TestKeyStoreReopensWhileItCloses(t *testing.T) {
+	t.Parallel()
+	engine := standin.NewEngine(t, standin.Echo(time.Millisecond))
+	cfg, err := config.ParseOperator(keysTOML(filepath.Join(t.TempDir(), "keys")), platformConfig(t, engine.Address, ""))
+	if err != nil {
+		t.Fatal(err)
+	}
+	slow := slowUnlockFS{vfs.Default, make(chan struct{})}
+	srv := launchWith(t, cfg, func(s *Server) { s.keys.fs = slow })
+	srv.eventually(t, "server serves requests", func() bool { return srv.serving && srv.link.Ready() })
+	closed := make(chan struct{})
+	srv.onLoopWait(func() {
+		srv.core.ReleaseKeys(nil)
+		srv.releaseKeyStore(func() { close(closed) })
+		srv.acquireKeys(0)
+	})
+	for range 50 { // the store can be opened again from here on
+		srv.onLoopWait(func() {})
+		time.Sleep(2 * time.Millisecond)
+	}
+	close(slow.finish)
+	<-closed
+	srv.eventually(t, "keys owned", srv.core.OwnsKeys)
+	caller := standin.Dial(t, srv.framesAddr)
+	caller.Send(1, standin.Fields("note", "red", "k", 1, 3*time.Second), "b")
+	if got, ok := caller.Next(); !ok || got.Code != frame.Served {
+		t.Errorf("got %+v, want served", got)
+	}
+	srv.onLoopWait(func() {
+		if srv.keys.worker == nil || srv.keys.worker.Stats().Operations == 0 {
+			t.Error("a keyed request ran without a record")
+		}
+	})
+}
--- a/internal/server/keys.go
+++ b/internal/server/keys.go
@@ -19,9 +19,10 @@
 type keyState struct {
 	fs             vfs.FS // nil = the system's
 	worker         *storage.Worker
-	restored       int  // keys read from the store
-	unknownOutcome int  // ... with unknown outcome
-	opening        bool // the store is being opened outside the loop
+	restored       int           // keys read from the store
+	unknownOutcome int           // ... with unknown outcome
+	opening        bool          // the store is being opened outside the loop
+	closed         chan struct{} // closed on the loop once the store that was released is closed; nil = none was
 	openErr        error
 }
 
@@ -144,7 +145,14 @@
 		return
 	}
 	s.keys.opening = true
+	closed := s.keys.closed
 	go func() {
+		if closed != nil { // the end of the closing also removes the journal from the core
+			select {
+			case <-closed:
+			case <-s.runCtx.Done():
+			}
+		}
 		store, records, err := s.awaitKeyStore()
 		if s.ended.Load() { // nothing runs on the loop any more
 			if store != nil {
@@ -198,11 +206,13 @@
 		return
 	}
 	s.keys.worker = nil
-	done := w.Close()
+	done, closed := w.Close(), make(chan struct{})
+	s.keys.closed = closed
 	go func() {
 		<-done
 		s.onLoop(func() {
 			s.core.SetJournal(nil, false)
+			close(closed)
 			then()
 		})
 	}()
