core, server: ends of runs that came while the key store opened are recorded

Callers could see: after an upgrade and a crash of the new process, an error for a further try of a keyed request that had been served.

Cause: the old process's run ends after that process has closed the store and before the new one has opened it. The end reaches the new one's table only; the store keeps the start, and a later start reads it as an unknown outcome.

TestRunEndsDuringKeyStoreOpening failed before (1 of 1 keys with unknown outcome, the further try failed). restoreKeys now passes the unfinished records to the core, which records the ends that it knows; one whose outcome is itself unknown is left as it is.

--- a/internal/core/journal.go
+++ b/internal/core/journal.go
@@ -181,6 +181,16 @@
 	return true
 }
 
+// RecordKnownEnd records the end of a run whose stored record rec has none, if this
+// process has learned the end meanwhile, from the peer.
+func (c *Core) RecordKnownEnd(rec Record) {
+	e := c.keyTable[entryName(rec.Class, rec.Key)]
+	if c.journal == nil || e == nil || e.started == nil || e.started.phase != ended || e.started.outcomeUnknown || e.started.Arrived != rec.Arrived {
+		return
+	}
+	c.journal.End(0, c.recordOf(e.started, e.windowEnd))
+}
+
 // rewriteRecord writes the record again after its window has become longer.
 func (c *Core) rewriteRecord(e *keyEntry) {
 	if c.journal == nil || !c.OwnsKeys() {
--- a/internal/server/key_acquisition_test.go
+++ b/internal/server/key_acquisition_test.go
@@ -268,6 +268,39 @@
 	}
 }
 
+// A run of the predecessor that ends while the successor opens the key store is on
+// record with its end. The failure: only its start was, so that after a crash a further
+// try failed although its result had been answered.
+func TestRunEndsDuringKeyStoreOpening(t *testing.T) {
+	t.Parallel()
+	shared, operator, gate := newSharedListener(t), keysTOML(filepath.Join(t.TempDir(), "keys")), newGatedFS()
+	predecessorEngine := standin.NewEngine(t, standin.Echo(time.Second))
+	predecessor := launch(t, shared.processConfig(t, predecessorEngine.Address, operator))
+	predecessor.waitReady(t)
+	caller := predecessor.dialUntilMine(t)
+	caller.Send(1, standin.Fields("note", "red", "k", 1, 3*time.Second), "b")
+	predecessor.eventually(t, "request running", func() bool { return predecessor.link.Running() == 1 })
+	engine := standin.NewEngine(t, standin.Echo(time.Millisecond))
+	successor := launchWith(t, shared.processConfig(t, engine.Address, operator), func(s *Server) { s.keys.fs = gate })
+	<-gate.opening
+	if got, _ := caller.Next(); got.Code != frame.Served {
+		t.Errorf("got %+v, want served", got)
+	}
+	close(gate.open)
+	successor.eventually(t, "keys owned", successor.core.OwnsKeys)
+	predecessor.stop(t)
+	successor.stop(t)
+	third := start(t, engine.Address, "", operator)
+	if third.keys.restored != 1 || third.keys.unknownOutcome != 0 {
+		t.Errorf("%d keys restored, %d with unknown outcome, want 1 and 0", third.keys.restored, third.keys.unknownOutcome)
+	}
+	late := standin.Dial(t, third.framesAddr)
+	late.Send(1, standin.Fields("note", "red", "k", 2, 3*time.Second), "b")
+	if got, _ := late.Next(); got.Code != frame.Served || got.Body != "did b" || engine.Runs()["b"] != 0 {
+		t.Errorf("further try: got %+v and %d runs, want the result of the first run", got, engine.Runs()["b"])
+	}
+}
+
 // slowUnlockFS is a file system on which closing a key store releases its lock at once
 // and then takes until finish is closed.
 type slowUnlockFS struct {
--- a/internal/server/keys.go
+++ b/internal/server/keys.go
@@ -68,6 +68,7 @@
 
 // restoreKeys imports the records of the store, and has it keep the records from now on.
 func (s *Server) restoreKeys(store *keystore.Store, records []keystore.Record) {
+	var unfinished []core.Record
 	for i := range records {
 		r := &records[i]
 		s.keys.restored++
@@ -84,10 +85,14 @@
 		}
 		// The engine may still be running it, or may have ended it while no process was connected.
 		awaited := !r.Finished && r.TryID != "" && s.cfg.Backends[class] == ""
-		if run := s.core.ImportRecord(core.Record{Class: class, Key: r.Key, Arrived: r.Arrived, WindowEnd: r.WindowEnd, BodyHash: r.BodyHash, Finished: !awaited,
-			Outcome: kiteslip.Outcome(outcome), Result: r.Result, TryID: r.TryID, Deadline: r.Deadline, OutcomeUnknown: !r.Finished}); run != nil {
+		rec := core.Record{Class: class, Key: r.Key, Arrived: r.Arrived, WindowEnd: r.WindowEnd, BodyHash: r.BodyHash, Finished: !awaited,
+			Outcome: kiteslip.Outcome(outcome), Result: r.Result, TryID: r.TryID, Deadline: r.Deadline, OutcomeUnknown: !r.Finished}
+		if run := s.core.ImportRecord(rec); run != nil {
 			s.link.Await(run)
 		}
+		if !r.Finished {
+			unfinished = append(unfinished, rec)
+		}
 	}
 	s.keys.worker = storage.Start(store, storage.ReadClocks, func(outcomes []storage.Outcome) {
 		s.onLoop(func() {
@@ -99,6 +104,9 @@
 		})
 	})
 	s.core.SetJournal(journal{s, s.keys.worker}, s.cfg.Keys.AllowUnrecorded)
+	for i := range unfinished {
+		s.core.RecordKnownEnd(unfinished[i])
+	}
 	s.log.Info("key store opened", zap.String("folder", s.cfg.Keys.Folder), zap.Int("restored", s.keys.restored),
 		zap.Int("unknown", s.keys.unknownOutcome), zap.Int64("shift_ms", store.WindowExtension()/1000))
 }
