server: the old process listens for the next successor as soon as it has the lock

Cause: the old process looked at the lock four times a second, opened its key store, and listened for successors only when it owned the keys. A process that started in between found nobody to pass it the listener, and opened the address itself.

A process that finds the lock taken and nobody listening dials again for the time of the handshake.

Ruled out: to retry the bind, since the old process keeps the address until the successor is ready.

--- a/internal/server/handover_endpoint.go
+++ b/internal/server/handover_endpoint.go
@@ -25,8 +25,8 @@
 		return err
 	}
 	s.core.ReleaseKeys(nil)
-	if u.predecessorConn = u.endpoint.Dial(); u.predecessorConn == nil {
-		if u.endpoint.TryLock() {
+	if s.dialPredecessor(); u.predecessorConn == nil {
+		if u.holdsLock {
 			u.inDoubtUntil = s.inDoubtUntil(u.endpoint.LastOwnerAlive())
 			s.core.AcquireKeys(u.inDoubtUntil)
 		}
@@ -41,6 +41,22 @@
 	return nil
 }
 
+// dialPredecessor dials until a predecessor answers, this process has the lock, or the
+// time for the handshake is over: a process that takes the keys back from a successor
+// that has just ended has the lock a moment before it listens.
+func (s *Server) dialPredecessor() {
+	u := &s.upgrade
+	for {
+		if u.predecessorConn = u.endpoint.Dial(); u.predecessorConn != nil || s.tryLock() {
+			return
+		}
+		if now()-u.startedAt >= handshakeTimeoutUS {
+			return
+		}
+		time.Sleep(predecessorDialInterval)
+	}
+}
+
 // startLoop starts the loop iterations, and enrols the connection to the predecessor
 // if there is one.
 func (s *Server) startLoop() {
@@ -84,11 +100,11 @@
 }
 
 // awaitSuccessor listens on the handover endpoint, once this process accepts callers
-// and owns the keys. It listens again where another process has taken the endpoint
+// and has the lock. A successor that connects before the keys are owned waits. It listens again where another process has taken the endpoint
 // over and died.
 func (s *Server) awaitSuccessor() {
 	u := &s.upgrade
-	if u.endpoint == nil || !u.acceptingCallers || !s.core.OwnsKeys() {
+	if u.endpoint == nil || !u.acceptingCallers || !u.holdsLock {
 		return
 	}
 	if u.listener != nil {
--- a/internal/server/key_acquisition_test.go
+++ b/internal/server/key_acquisition_test.go
@@ -366,3 +366,37 @@
 		}
 	})
 }
+
+// A further successor starts in the moment in which another one has ended that had taken
+// the keys over. It finds the first process and is handed its uwsgi listener. The
+// failure: the first process took the keys back and listened for a successor only some
+// time later, and the new one ended with "address already in use".
+func TestSuccessorStartsAfterAnotherEnded(t *testing.T) {
+	t.Parallel()
+	for _, keyStore := range []bool{false, true} {
+		shared, operator := newSharedListener(t), operatorTOML("")
+		if keyStore {
+			operator += keysTOML(filepath.Join(t.TempDir(), "keys"))
+		}
+		predecessor := launch(t, shared.processConfig(t, standin.NewEngine(t, workByBody).Address, operator))
+		predecessor.waitReady(t)
+		start := func() *testServer {
+			cfg := shared.processConfig(t, standin.NewEngine(t, workByBody).Address, operator)
+			cfg.UWSGI.Listen = predecessor.uwsgiAddr
+			return launch(t, cfg)
+		}
+		for range 2 {
+			successor := start()
+			successor.eventually(t, "keys owned", successor.core.OwnsKeys)
+			successor.stop(t)
+		}
+		last := start()
+		last.waitReady(t)
+		last.eventually(t, "keys owned", last.core.OwnsKeys)
+		if last.uwsgiAddr != predecessor.uwsgiAddr {
+			t.Errorf("uwsgi address: got %s, want %s", last.uwsgiAddr, predecessor.uwsgiAddr)
+		}
+		last.stop(t)
+		predecessor.stop(t)
+	}
+}
--- a/internal/server/upgrade.go
+++ b/internal/server/upgrade.go
@@ -17,18 +17,19 @@
 // which of them may do what at which time; this file connects the two processes
 // to the loop.
 const (
-	handshakeTimeoutUS     = 1_000_000 // for the predecessor to pass its listener to the new process
-	tableTimeoutUS         = 4_000_000 // from the start, for the predecessor's keys; callers are then accepted with or without them
-	engineReadyTimeoutUS   = 4_500_000 // from the start, for the engine to answer; callers are then accepted without it
-	peerTimeoutUS          = 5_000_000 // a peer that is silent for longer has stalled
-	loadReportIntervalUS   = 20_000    // between two load messages, which also serve as heartbeats
-	maxPlatformStopUS      = 3_000_000 // the platform kills after the longest timeout, of which it counts at most this,
-	platformStopExtraUS    = 700_000   // ... plus this
-	maxPeerUnsentBytes     = 8 << 20   // a peer with more unsent bytes has stalled
-	maxImportedRecords     = 1 << 20   // key records accepted from the peer
-	maxPeerConns           = 4         // connections at the handover endpoint
-	maxTableBytesInFlight  = 1 << 20   // bytes of the key table that may be unsent at once
-	sharedResourcesDivisor = 2         // processes share the memory and the connection slots
+	handshakeTimeoutUS      = 1_000_000             // for the predecessor to pass its listener to the new process
+	predecessorDialInterval = 10 * time.Millisecond // between two dials of a predecessor that does not listen yet
+	tableTimeoutUS          = 4_000_000             // from the start, for the predecessor's keys; callers are then accepted with or without them
+	engineReadyTimeoutUS    = 4_500_000             // from the start, for the engine to answer; callers are then accepted without it
+	peerTimeoutUS           = 5_000_000             // a peer that is silent for longer has stalled
+	loadReportIntervalUS    = 20_000                // between two load messages, which also serve as heartbeats
+	maxPlatformStopUS       = 3_000_000             // the platform kills after the longest timeout, of which it counts at most this,
+	platformStopExtraUS     = 700_000               // ... plus this
+	maxPeerUnsentBytes      = 8 << 20               // a peer with more unsent bytes has stalled
+	maxImportedRecords      = 1 << 20               // key records accepted from the peer
+	maxPeerConns            = 4                     // connections at the handover endpoint
+	maxTableBytesInFlight   = 1 << 20               // bytes of the key table that may be unsent at once
+	sharedResourcesDivisor  = 2                     // processes share the memory and the connection slots
 )
 
 // upgradeState is what a server knows of its predecessor and successor.
@@ -45,6 +46,7 @@
 	peerConns        int                // connections of peers at the handover endpoint
 	importedRecords  int                // key records received from the peer
 	reservedSlots    int                // connection slots left to the peer
+	holdsLock        bool               // this process owns the keys or is about to
 	dialingOwner     bool               // a dial of the key owner is in progress
 	acceptingCallers bool               // callers' connections are accepted
 	keysHandedOver   bool               // the keys were handed over to a successor
@@ -85,7 +87,7 @@
 // acquireTransferredKeys acquires the keys that the predecessor p has transferred.
 // Where another process owns them by now, this one stays without.
 func (s *Server) acquireTransferredKeys(p *peerConn, inDoubtUntil int64) {
-	if !s.upgrade.endpoint.TryLock() {
+	if !s.tryLock() {
 		p.phase = withoutKeys
 		s.log.Warn("upgrade: another process owns the keys that the predecessor has transferred")
 		return
@@ -95,6 +97,17 @@
 	s.acquireKeys(inDoubtUntil)
 }
 
+// tryLock takes the lock that the key owner holds, if no other process has it, and
+// listens for a successor from then on.
+func (s *Server) tryLock() bool {
+	u := &s.upgrade
+	if !u.holdsLock && u.endpoint.TryLock() {
+		u.holdsLock = true
+		s.awaitSuccessor()
+	}
+	return u.holdsLock
+}
+
 // ownershipTaken completes the acquisition of the keys; the key store, if there is
 // one, has been opened.
 func (s *Server) ownershipTaken(inDoubtUntil int64) {
@@ -104,7 +117,6 @@
 		p.phase = owningKeys
 		s.core.SetPeer(p)
 	}
-	s.awaitSuccessor()
 	s.scheduleIteration()
 }
 
@@ -128,6 +140,7 @@
 	u.waitingSuccessor, u.peer, u.keysHandedOver = nil, p, true
 	s.shareResources()
 	inDoubtUntil := s.core.ReleaseKeys(p)
+	u.holdsLock = false
 	if err := u.endpoint.Unlock(); err != nil {
 		s.log.Error("upgrade", zap.Error(err))
 	}
@@ -181,7 +194,7 @@
 		if s.keys.opening {
 			return // the keys are acquired once the store is open
 		}
-		if u.endpoint.TryLock() {
+		if s.tryLock() {
 			u.keysHandedOver = false
 			s.acquireKeys(t + s.core.MaxWindow())
 		} else if !u.keysHandedOver && !u.dialingOwner {
