kitelab soak: the whole program under random trouble, judged by its rules

The measurements so far restart processes in waves or break one thing at a time; the fault of the claim before the keys needed an upgrade, a key store and a keyed request in one moment, and no test had them together.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # build, test, lint and run; see README.md.
 VERSION := $(shell git describe --always --dirty 2>/dev/null || echo development)
 
-.PHONY: build test lint run measure-scale measure-pools measure-door measure-keys measure-lab measure-calls measure-shutdown regression demo
+.PHONY: build test soak lint run measure-scale measure-pools measure-door measure-keys measure-lab measure-calls measure-shutdown regression demo
 
 build:
 	mkdir -p bin
@@ -15,6 +15,11 @@
 test:
 	.ci/gotest
 
+# The whole program under random trouble, a few fixed seeds: docs/operate/soak.md. A long
+# run is started by hand: SEEDS=50 make soak.
+soak: build
+	.ci/soak
+
 # Measurements with fixed seeds: the last line has the figures, and a figure
 # that falls short ends them with 1.
 measure-pools: build
--- a/cmd/kitelab/main.go
+++ b/cmd/kitelab/main.go
@@ -24,6 +24,7 @@
 	Keys     keysCmd     `cmd:"" help:"Keyed results over kills, losses of power and restarts."`
 	Calls    callsCmd    `cmd:"" help:"Calls below under faults, and what a call costs, against the real program."`
 	Shutdown shutdownCmd `cmd:"" help:"Many processes that restart together while callers send, against the real program."`
+	Soak     soakCmd     `cmd:"" help:"Random signals, upgrades, kills and broken links against the real program, judged by its rules."`
 	Slopes   slopesCmd   `cmd:"" help:"How the figures of one server grow with tenants, routes, callers and changes."`
 	Capacity capacityCmd `cmd:"" help:"Render the tables of docs/CAPACITY.md from what was measured."`
 	Door     doorCmd     `cmd:"" help:"A thousand connections that ask from the start, against the real program."`
--- a/internal/standin/box/engine.go
+++ b/internal/standin/box/engine.go
@@ -40,6 +40,7 @@
 	unflushed      bool
 	timer          *time.Timer
 	onBegin        func(body string)
+	onRun          func(id, body string)
 	coldSince      int64 // start of the warm-up; 0 = none
 	closed         bool
 }
@@ -109,6 +110,14 @@
 	e.onBegin = f
 }
 
+// OnRun calls f with the ID and the body of each RUN command that starts a run from
+// now on.
+func (e *Engine) OnRun(f func(id, body string)) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.onRun = f
+}
+
 // ReportDurations appends to the result of each run a space and the microseconds from its
 // RUN command to its notice, delays of this process included. The rest of what a
 // caller waits is due to the way between.
@@ -288,6 +297,9 @@
 	if e.onBegin != nil {
 		e.onBegin(string(body))
 	}
+	if e.onRun != nil {
+		e.onRun(name, string(body))
+	}
 	calls := Calls(body)
 	r := &activeRun{name: name, body: body, callsLeft: calls, segmentWork: Work(body) / float64(calls+1), started: nowUS(),
 		result: append([]byte(nil), body...)}
