server: listeners close beside the loop; shared sockets accept in non-blocking mode

Callers saw, in an upgrade: the old process stopped answering at SIGTERM, and all that it had read was lost at the kill.

Cause, from the stacks of the process: the loop stood in the Close of the callers' listener, which waits for an accept in progress; that stood in accept4. The socket's blocking mode is shared by all processes that have it, and whoever passes it to a successor may change it (Go's File does). An accept that wakes then and finds the connection taken by the other process stays in the system until the next connection.

Change: drainListeners closes beside the loop, and a shared socket is set to non-blocking before each accept. Ruled out: SO_RCVTIMEO, which has no effect on accepts of the MPTCP sockets that Go listens on (tried: an accept stayed 2 s with a timeout of 10 ms).

TestShutdownWithBlockingSharedSocket and TestShutdownWithListenerThatDoesNotClose failed before (no end within 5 s of a stop time of 2 s) and pass 5 of 5.

--- a/internal/server/listeners.go
+++ b/internal/server/listeners.go
@@ -18,6 +18,7 @@
 	newHandler func() handler
 	slots      chan struct{}
 	admin      bool // the admin endpoint, whose connections are enrolled one by one
+	shared     bool // other processes may have the socket too
 }
 
 // Listen opens the listeners; Serve calls it if it was not called before.
@@ -37,7 +38,8 @@
 		}
 		var l net.Listener
 		var err error
-		if s.cfg.InheritedFD != 0 && len(s.listeners) == 0 {
+		shared := s.cfg.InheritedFD != 0
+		if shared && len(s.listeners) == 0 {
 			l, err = s.inheritedListener()
 		} else if l = s.passedListener(f.address); l == nil {
 			l, err = net.Listen("tcp", f.address)
@@ -46,7 +48,7 @@
 			s.closeListeners()
 			return fmt.Errorf("listen: %w", err)
 		}
-		s.listeners = append(s.listeners, frontend{Listener: l, newHandler: f.newHandler, slots: s.slots})
+		s.listeners = append(s.listeners, frontend{Listener: l, newHandler: f.newHandler, slots: s.slots, shared: shared})
 	}
 	s.passedListener("") // closes a passed listener that was not used
 	if s.cfg.Ops != "" {
@@ -92,11 +94,19 @@
 	s.closingListeners.Store(true)
 	for i, l := range s.listeners {
 		if s.activeListeners == 0 || s.upgrade.keysHandedOver || i == 0 && s.cfg.InheritedFD != 0 || !setFinalAcceptDeadline(l.Listener) {
-			l.Close()
+			go l.Close() //nolint:errcheck // waits for an accept in the system, see ensureNonblocking
 		}
 	}
 }
 
+// ensureNonblocking makes accepts return where no connection waits. Whether a socket is
+// in blocking mode is shared by all processes that have it, and any of them may change
+// it, for instance a platform that passes it on. An accept that stays in the system all
+// the same, as the change came right after, only delays the close of the listener.
+func ensureNonblocking(l net.Listener) {
+	checkSocket(l, func(fd int) bool { return unix.SetNonblock(fd, true) == nil })
+}
+
 // acceptLoop accepts connections as long as there are slots for them. It never
 // waits for the loop, so the whole accept queue is emptied at once, see
 // docs/design/door.md.
@@ -113,6 +123,9 @@
 		if s.closingListeners.Load() && !l.admin {
 			setFinalAcceptDeadline(l.Listener) // where this fails the listener is closed already
 		}
+		if l.shared {
+			ensureNonblocking(l.Listener)
+		}
 		c, err := l.Accept()
 		if err == nil {
 			s.enrolling.Add(1)
--- a/internal/server/upgrade_test.go
+++ b/internal/server/upgrade_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -433,3 +434,88 @@
 		}
 	})
 }
+
+// waitServedAndEnded waits for the answer to the request on caller's connection and for
+// the end of the process, which was told to stop.
+func (r *testServer) waitServedAndEnded(t *testing.T, caller *standin.Caller) {
+	t.Helper()
+	got, ok := caller.Next()
+	for ok && got.Type == frame.GoAway {
+		got, ok = caller.Next()
+	}
+	if !ok || got.Code != frame.Served {
+		t.Errorf("request that ran at the shutdown: got %+v, want served", got)
+	}
+	caller.Conn.Close()
+	select {
+	case err := <-r.serveErr:
+		if err != nil {
+			t.Error(err)
+		}
+	case <-time.After(5 * time.Second):
+		t.Fatal("the process did not end within 5 s of a stop time of 2 s")
+	}
+}
+
+// The platform passes the callers' socket to a further process, and its program makes the
+// socket blocking for a moment, for all processes that have it. The failure: an accept of
+// this process then stayed in the system, and at the shutdown the loop waited for that
+// accept to end before it closed the listener, with all answers owed.
+func TestShutdownWithBlockingSharedSocket(t *testing.T) {
+	t.Parallel()
+	shared := newSharedListener(t)
+	engine := standin.NewEngine(t, standin.Echo(300*time.Millisecond))
+	srv := launch(t, shared.processConfig(t, engine.Address, ""))
+	srv.waitReady(t)
+	raw, err := shared.SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err = raw.Control(func(fd uintptr) { err = unix.SetNonblock(int(fd), false) }); err != nil {
+		t.Fatal(err)
+	}
+	caller := srv.dialUntilMine(t) // the next accept finds the socket blocking
+	caller.Send(1, standin.Fields("look", "red", "", 1, 3*time.Second), "look")
+	srv.eventually(t, "request running", func() bool { return srv.link.Running() == 1 })
+	srv.signals <- syscall.SIGTERM
+	srv.signals = nil
+	srv.waitServedAndEnded(t, caller)
+}
+
+// slowCloseListener is a listener whose first Close takes until finish is closed, as it
+// does while an accept stays in the system.
+type slowCloseListener struct {
+	net.Listener
+	finish  chan struct{}
+	closing atomic.Bool
+}
+
+func (l *slowCloseListener) Close() error {
+	if l.closing.Swap(true) {
+		return net.ErrClosed
+	}
+	<-l.finish
+	return l.Listener.Close()
+}
+
+// A listener that takes long to close delays no answer, and the process ends by its stop
+// time.
+func TestShutdownWithListenerThatDoesNotClose(t *testing.T) {
+	t.Parallel()
+	shared := newSharedListener(t)
+	engine := standin.NewEngine(t, standin.Echo(300*time.Millisecond))
+	srv := launch(t, shared.processConfig(t, engine.Address, ""))
+	srv.waitReady(t)
+	slow := &slowCloseListener{finish: make(chan struct{})}
+	t.Cleanup(func() { close(slow.finish) })
+	caller := srv.dialUntilMine(t)
+	srv.onLoopWait(func() {
+		slow.Listener = srv.listeners[0].Listener
+		srv.listeners[0].Listener = slow
+	})
+	caller.Send(1, standin.Fields("look", "red", "", 1, 3*time.Second), "look")
+	srv.eventually(t, "request running", func() bool { return srv.link.Running() == 1 })
+	srv.signals <- syscall.SIGTERM
+	srv.signals = nil
+	srv.waitServedAndEnded(t, caller)
+}
