--- a/internal/lab/soak/judge.go
+++ b/internal/lab/soak/judge.go
@@ -174,6 +174,7 @@
 	case !pr.killedAt.IsZero():
 	case pr.killedAtStop:
 		violate("not_ended", "had to be killed at the end of its stop time")
+	case pr.endedBeforeMain():
 	case pr.endErr != nil:
 		violate("bad_exit", "ended with %v", pr.endErr)
 	case pr.termAt.IsZero():
--- a/internal/lab/soak/path.go
+++ b/internal/lab/soak/path.go
@@ -9,9 +9,10 @@
 
 // The bounds of a printed path.
 const (
-	pathMargin   = 2 * time.Second // events of the place so long before and after the request are shown
-	maxPathLines = 60
-	maxLogTail   = 15 // last lines of the log of a process
+	pathMargin    = 2 * time.Second // events of the place so long before and after the request are shown
+	maxPathLines  = 60
+	maxLogTail    = 15 // last lines of the log of a process
+	maxStackLines = 60 // of the stacks of a process that did not end
 )
 
 // clock formats an instant for a path.
@@ -58,6 +59,7 @@
 // processPath returns the events of a process's server and the end of its log.
 func (g *game) processPath(pr *process) []string {
 	var lines, tail []string
+	stacks := false // the process was ended with SIGQUIT, and its stacks follow
 	for _, e := range g.history.events {
 		if strings.HasPrefix(e.what, pr.place.name) {
 			lines = append(lines, clock(e.at)+" "+e.what)
@@ -67,9 +69,18 @@
 		if strings.Contains(line, `"msg":"answer"`) {
 			return
 		}
+		if strings.HasPrefix(line, "SIGQUIT") {
+			stacks = true
+		}
+		if stacks {
+			if len(lines) < maxPathLines+maxStackLines {
+				lines = append(lines, "log: "+line)
+			}
+			return
+		}
 		if tail = append(tail, fmt.Sprintf("log: %.300s", line)); len(tail) > maxLogTail {
 			tail = tail[1:]
 		}
 	})
-	return append(lines[max(0, len(lines)-maxPathLines+maxLogTail):], tail...)
+	return append(lines[max(0, len(lines)-maxPathLines-maxStackLines):], tail...)
 }
--- a/internal/lab/soak/process.go
+++ b/internal/lab/soak/process.go
@@ -28,7 +28,8 @@
 // The sampling of a process.
 const (
 	sampleInterval  = 100 * time.Millisecond
-	clockTicks      = 100 // of /proc, per second
+	stackDumpTime   = 100 * time.Millisecond // for a process to write its stacks
+	clockTicks      = 100                    // of /proc, per second
 	minCPUTime      = 2 * time.Second
 	coreMeasureSlop = 0.15 // a sample's share of the cores is exact to about this
 )
@@ -212,6 +213,8 @@
 	go pr.killAfter(stop)
 }
 
+// killAfter ends the process when its stop time is over. SIGQUIT stops all goroutines and
+// leaves their stacks in the log; SIGKILL follows.
 func (pr *process) killAfter(stop time.Duration) {
 	select {
 	case <-pr.ended:
@@ -219,7 +222,12 @@
 		pr.mu.Lock()
 		pr.killedAtStop = true
 		pr.mu.Unlock()
-		pr.signal(syscall.SIGKILL)
+		pr.signal(syscall.SIGQUIT)
+		select {
+		case <-pr.ended:
+		case <-time.After(stackDumpTime):
+			pr.signal(syscall.SIGKILL)
+		}
 	}
 }
 
@@ -279,6 +287,18 @@
 	return number(residentPages) * int64(os.Getpagesize()), cpu, nil
 }
 
+// endedBeforeMain reports whether SIGTERM ended the process while the system was still
+// loading it: it had not written a line, and had read nothing.
+func (pr *process) endedBeforeMain() bool {
+	var exit *exec.ExitError
+	if pr.termAt.IsZero() || !errors.As(pr.endErr, &exit) {
+		return false
+	}
+	status, ok := exit.Sys().(syscall.WaitStatus)
+	info, err := os.Stat(pr.logPath)
+	return ok && status.Signaled() && status.Signal() == syscall.SIGTERM && err == nil && info.Size() == 0
+}
+
 // maxLogLineBytes bounds the lines of a log that are searched.
 const maxLogLineBytes = 1 << 20
 
