--- a/internal/lab/probe/platform.go
+++ b/internal/lab/probe/platform.go
@@ -1,6 +1,9 @@
 package probe
 
-import "encoding/json"
+import (
+	"encoding/json"
+	"time"
+)
 
 // PlatformFile returns a platform's file for a server whose policy never runs short
 // of cores or memory: cores is the number of cores, keyKB the memory accounted for
@@ -33,3 +36,21 @@
 	family["calls_over_us"], family["lingers_us"] = 5_000_000, 200_000
 	return json.Marshal(file)
 }
+
+// Rules are the rules of a fleet whose servers start cold and share one ledger.
+type Rules struct {
+	CallShare       float64       // downstream calls at once for each server, on average
+	CallShareWindow time.Duration // over which they are averaged
+	DrainGrace      time.Duration
+	ColdSpeed       float64 // of a server's cores at its start
+	WarmupTime      time.Duration
+}
+
+// Apply sets the rules in the settings of a platform's file.
+func (r Rules) Apply(settings map[string]any) {
+	family := settings["family_info"].(map[string]any)
+	family["below"], family["dep_share"], family["calls_over_us"] = "one_for_all", r.CallShare, r.CallShareWindow.Microseconds()
+	rules := settings["rules"].(map[string]any)
+	rules["drain_grace_us"], rules["cold_from"], rules["warm_within_us"] = r.DrainGrace.Microseconds(), r.ColdSpeed, r.WarmupTime.Microseconds()
+	rules["fall_multiple"], rules["fall_us"] = 8, 1_500_000
+}
--- a/internal/lab/shutdown/shutdown.go
+++ b/internal/lab/shutdown/shutdown.go
@@ -388,12 +388,8 @@
 	}
 	file["name"] = s.name
 	file["seed"] = fmt.Sprintf("%x", s.fleet.seed<<32+uint64(time.Now().UnixNano()&0xffffffff))
-	settings := file["settings"].(map[string]any)
-	family := settings["family_info"].(map[string]any)
-	family["below"], family["dep_share"], family["calls_over_us"] = "one_for_all", callShare, callShareWindow.Microseconds()
-	rules := settings["rules"].(map[string]any)
-	rules["drain_grace_us"], rules["cold_from"], rules["warm_within_us"] = drainGrace.Microseconds(), coldSpeed, warmupTime.Microseconds()
-	rules["fall_multiple"], rules["fall_us"] = 8, 1_500_000
+	rules := probe.Rules{CallShare: callShare, CallShareWindow: callShareWindow, DrainGrace: drainGrace, ColdSpeed: coldSpeed, WarmupTime: warmupTime}
+	rules.Apply(file["settings"].(map[string]any))
 	return json.Marshal(file)
 }
 
