server: only the loss of a successor looks at the lock at once

A process that waits for the keys of an older build loses its connection at its first load report and would have dialled again each time without a pause, where it did so four times a second. Read, not seen. The upgrade, key and shutdown tests of the server pass.

--- a/internal/server/peer_conn.go
+++ b/internal/server/peer_conn.go
@@ -60,7 +60,9 @@
 		p.s.core.PeerLost()
 		p.s.core.SetPeerLoad(0, 0)
 		p.s.reclaimResources()
-		p.s.watchKeyOwner(now()) // at once: a further successor may start in this moment
+		if p.successor {
+			p.s.watchKeyOwner(now()) // at once: a further successor may start in this moment
+		}
 		p.s.scheduleIteration()
 	}
 }
