--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -208,7 +208,7 @@
 
 // result sums up the seed.
 func (g *game) result(took time.Duration) *Result {
-	r := &Result{Seed: g.seed, Took: took, Places: len(g.places), Violations: g.violations, Counts: map[string]int{}}
+	r := &Result{Seed: g.seed, Took: took, Places: len(g.places), Violations: append([]Violation{}, g.violations...), Counts: map[string]int{}}
 	for _, p := range g.places {
 		r.Processes += len(p.processes)
 	}
