--- a/review/rig/engine.go
+++ b/review/rig/engine.go
@@ -27,6 +27,7 @@
 	done    map[string]int  // runs ended, by body
 	notices []string        // since the last start of the server
 	starts  int             // starts of the server that have attached
+	stopped bool            // the engine has ended with its server
 }
 
 // NewEngine starts an engine whose runs take the time that work says.
@@ -46,6 +47,17 @@
 	return e.runs[body], e.done[body]
 }
 
+// Stop ends the engine: nothing that it runs ends any more.
+func (e *Engine) Stop() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.stopped = true
+	if e.link != nil {
+		e.link.Close() //nolint:errcheck // it is closed in any case
+		e.link = nil
+	}
+}
+
 // AwaitStart waits until the n-th start of the server has attached.
 func (e *Engine) AwaitStart(n int) {
 	for began := time.Now(); time.Since(began) < startTimeout; time.Sleep(time.Millisecond) {
@@ -129,6 +141,9 @@
 	time.AfterFunc(takes, func() {
 		e.mu.Lock()
 		defer e.mu.Unlock()
+		if e.stopped {
+			return
+		}
 		delete(e.running, id)
 		e.done[body]++
 		result := Result(body)
--- a/review/rig/frames.go
+++ b/review/rig/frames.go
@@ -1,6 +1,7 @@
 package rig
 
 import (
+	"fmt"
 	"net"
 	"strconv"
 	"sync"
@@ -17,6 +18,19 @@
 	At   time.Time
 }
 
+// String describes an answer for the record.
+func (a Answer) String() string {
+	switch a.Code {
+	case frame.Served:
+		return fmt.Sprintf("served with %q", a.Body)
+	case frame.Refused:
+		return "refused"
+	case frame.Failed:
+		return fmt.Sprintf("failed: %q", a.Body)
+	}
+	return "no answer, the connection ended"
+}
+
 // Conn is a caller's connection on the platform's frames.
 type Conn struct {
 	conn net.Conn
@@ -41,7 +55,8 @@
 // Close closes the connection.
 func (c *Conn) Close() { c.conn.Close() } //nolint:errcheck // it is closed in any case
 
-// Try is one try of a request. TS is when it came to the machine.
+// Try is one try of a request. TS is when it came to the machine; its caller says that it
+// waits for Timeout, or does not say it where that is 0.
 type Try struct {
 	ID, Class, Tenant, Key, Body string
 	TS                           time.Time
@@ -52,8 +67,10 @@
 func (c *Conn) Send(t Try) <-chan Answer {
 	fields := []frame.Field{{Name: "kind", Value: t.Class}, {Name: "req", Value: t.ID}, {Name: "via", Value: "1"},
 		{Name: "ts", Value: strconv.FormatInt(t.TS.UnixMilli(), 10)}, {Name: "owner", Value: t.Tenant},
-		{Name: "timeout", Value: strconv.FormatInt(t.Timeout.Milliseconds(), 10)},
 		{Name: "ms", Value: "300.0"}, {Name: "need", Value: "24.5"}, {Name: "level", Value: "0.5"}}
+	if t.Timeout > 0 {
+		fields = append(fields, frame.Field{Name: "timeout", Value: strconv.FormatInt(t.Timeout.Milliseconds(), 10)})
+	}
 	if t.Key != "" {
 		fields = append(fields, frame.Field{Name: "opkey", Value: t.Key})
 	}
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -150,6 +150,12 @@
 // Start starts the server by the run command of the deploy file, and waits until it
 // serves. RUN holds that command.
 func (c *Case) Start(name string, env ...string) *Server {
+	return c.StartWith(name, nil, env...)
+}
+
+// StartWith is Start with a file that the process gets as descriptor 3; nil = none. The
+// environment may name another TMPDIR than the case's folder.
+func (c *Case) StartWith(name string, file *os.File, env ...string) *Server {
 	run := os.Getenv("RUN")
 	if run == "" {
 		c.Fatalf("RUN is not set: start the case by its run.sh")
@@ -158,6 +164,9 @@
 	s.cmd = exec.Command("/bin/sh", "-c", run)
 	s.cmd.Dir = c.Root
 	s.cmd.Env = append([]string{"PATH=" + os.Getenv("PATH"), "TMPDIR=" + c.Folder}, env...)
+	if file != nil {
+		s.cmd.ExtraFiles = []*os.File{file}
+	}
 	out, err := s.cmd.StderrPipe()
 	if err == nil {
 		err = s.cmd.Start()
@@ -220,3 +229,15 @@
 	}()
 	return l.Addr().String()
 }
+
+// Stop stops the process, and Continue lets it go on.
+func (s *Server) Stop() { s.signal(syscall.SIGSTOP) }
+
+// Continue lets a stopped process go on.
+func (s *Server) Continue() { s.signal(syscall.SIGCONT) }
+
+func (s *Server) signal(sig syscall.Signal) {
+	if err := s.cmd.Process.Signal(sig); err != nil {
+		s.c.Fatalf("%s: %v", s.name, err)
+	}
+}
