Let callers of the review's rig keep a connection

Cause: a case needs a caller whose connection is the old process's in an upgrade. Change: the frame caller is a connection with streams in series; what the dropped cases alone needed is gone from the rig.

--- a/review/rig2/callers.go
+++ b/review/rig2/callers.go
@@ -68,15 +68,33 @@
 	err  error
 }
 
+// caller is a caller's connection.
+type caller struct {
+	r      *rig
+	conn   net.Conn
+	stream uint32 // the last one
+}
+
+// dial opens a connection; the caller closes it.
+func (r *rig) dial(address string) (*caller, error) {
+	c, err := net.DialTimeout("tcp", address, time.Second)
+	return &caller{r: r, conn: c}, err
+}
+
 // askFrames sends one request on a connection of its own and waits for its answer.
 // It returns the stamp that the request carried, in Unix milliseconds.
 func (r *rig) askFrames(address string, q frameRequest) (frameAnswer, int64) {
-	c, err := net.DialTimeout("tcp", address, time.Second)
+	c, err := r.dial(address)
 	if err != nil {
 		r.note("frames %+v: %v", q, err)
 		return frameAnswer{err: err}, 0
 	}
-	defer c.Close()
+	defer c.conn.Close()
+	return c.ask(q)
+}
+
+// ask sends one request and waits for its answer.
+func (c *caller) ask(q frameRequest) (frameAnswer, int64) {
 	ts := time.Now().UnixMilli()
 	fields := []frame.Field{{Name: "kind", Value: q.kind}, {Name: "req", Value: fmt.Sprintf("%016x", rand.Uint64())},
 		{Name: "ts", Value: strconv.FormatInt(ts, 10)}, {Name: "via", Value: "1"}, {Name: "owner", Value: "nkwa-bank"},
@@ -85,18 +103,19 @@
 	if q.key != "" {
 		fields = append(fields, frame.Field{Name: "opkey", Value: q.key})
 	}
-	r.note("frames %s key %s body %q ts %d: written", q.kind, q.key, q.body, ts)
-	c.SetDeadline(time.UnixMilli(ts).Add(q.timeout + time.Second)) //nolint:errcheck // a closed connection shows below
-	if _, err := c.Write(frame.AppendRequest(nil, 1, fields, []byte(q.body))); err != nil {
+	c.r.note("frames %s key %s body %q ts %d: written", q.kind, q.key, q.body, ts)
+	c.conn.SetDeadline(time.UnixMilli(ts).Add(q.timeout + time.Second)) //nolint:errcheck // a closed connection shows below
+	c.stream++
+	if _, err := c.conn.Write(frame.AppendRequest(nil, c.stream, fields, []byte(q.body))); err != nil {
 		return frameAnswer{err: err}, ts
 	}
-	a := readAnswer(c)
-	r.note("frames %s key %s body %q ts %d: answer %d %q %v", q.kind, q.key, q.body, ts, a.code, a.body, a.err)
+	a := readAnswer(c.conn, c.stream)
+	c.r.note("frames %s key %s body %q ts %d: answer %d %q %v", q.kind, q.key, q.body, ts, a.code, a.body, a.err)
 	return a, ts
 }
 
-// readAnswer reads frames until the answer on stream 1.
-func readAnswer(c net.Conn) frameAnswer {
+// readAnswer reads frames until the answer on that stream.
+func readAnswer(c net.Conn, stream uint32) frameAnswer {
 	for {
 		head := make([]byte, 4)
 		if _, err := io.ReadFull(c, head); err != nil {
@@ -110,7 +129,7 @@
 		if _, err := io.ReadFull(c, p); err != nil {
 			return frameAnswer{err: err}
 		}
-		if p[0] != frame.Answer || binary.BigEndian.Uint32(p[1:]) != 1 || n < frame.MinLength+1 {
+		if p[0] != frame.Answer || binary.BigEndian.Uint32(p[1:]) != stream || n < frame.MinLength+1 {
 			continue
 		}
 		_, body, err := frame.ParseFields(p[frame.MinLength+1:])
--- a/review/rig2/engine.go
+++ b/review/rig2/engine.go
@@ -146,13 +146,3 @@
 	}
 	return list
 }
-
-// awaitRun waits until a run of body has begun.
-func (e *engine) awaitRun(body string, within time.Duration) bool {
-	for until := time.Now().Add(within); time.Now().Before(until); time.Sleep(time.Millisecond) {
-		if len(e.runsOf(body)) > 0 {
-			return true
-		}
-	}
-	return false
-}
--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -185,7 +185,7 @@
 // kill ends the process if it still runs.
 func (s *server) kill() {
 	if !s.ended() {
-		s.cmd.Process.Kill() //nolint:errcheck // it has ended meanwhile
+		s.signal(syscall.SIGKILL)
 		<-s.done
 	}
 }
@@ -248,11 +248,8 @@
 "tenants":[{"name":"swiftride","quota_per_s":62.0,"share":0.43},{"name":"nkwa-bank","quota_per_s":61.0,"share":0.42},{"name":"volta-power","quota_per_s":22.0,"share":0.15}],
 "tick_us":4000,"tiers":["lookup-fleet"],"worth_by":"work","zones":["accra-east","tema"]}`
 
-// The window and the time that a caller waits of the keyed class in settingsText.
-const (
-	keyWindow  = 15_765 * time.Millisecond
-	keyTimeout = 5_300 * time.Millisecond
-)
+// keyTimeout is how long a caller of a keyed class waits.
+const keyTimeout = 5_300 * time.Millisecond
 
 // platformFile writes the platform's file of a server and returns its path.
 func (r *rig) platformFile(name, listen, engine string) string {
@@ -263,15 +260,3 @@
 	r.must(err)
 	return r.write(name+"-"+strings.ReplaceAll(engine, ":", "-")+".json", string(text))
 }
-
-// rewrite changes a JSON file.
-func (r *rig) rewrite(path string, change func(map[string]any)) {
-	text, err := os.ReadFile(path)
-	r.must(err)
-	var c map[string]any
-	r.must(json.Unmarshal(text, &c))
-	change(c)
-	text, err = json.Marshal(c)
-	r.must(err)
-	r.must(os.WriteFile(path, text, 0o600))
-}
