--- a/review/rig2/case_upgrades.go
+++ b/review/rig2/case_upgrades.go
@@ -13,7 +13,7 @@
 	cases["keys-kept-from-an-upgrade-on"] = keysKeptFromAnUpgradeOn
 	cases["window-that-grows"] = windowThatGrows
 	cases["class-that-returns"] = classThatReturns
-	cases["window-that-shrinks"] = windowThatShrinks
+	cases["window-that-shrinks"] = windowThatShrinks                        // told of in the report
 	cases["window-that-shrinks-at-a-restart"] = windowThatShrinksAtARestart // told of in the report
 	cases["doubt-that-ends-in-an-upgrade"] = doubtThatEndsInAnUpgrade       // told of in the report
 }
