Give each case of the second review a program, as the first review's build expects

Cause: review/build.sh builds a program for each folder of a case, and ended with 1 ("no Go files in review/10") since the cases 6 to 10 came: the first review could not be built any more.

--- a/review/rig2/callers.go
+++ b/review/rig2/callers.go
@@ -1,4 +1,4 @@
-package main
+package rig2
 
 import (
 	"encoding/binary"
--- a/review/rig2/main.go
+++ b/review/rig2/rig2.go
@@ -1,9 +1,8 @@
-// Command rig2 plays the cases 6 to 10 of the review: it starts the project's
+// Package rig2 plays the cases 6 to 10 of the review: it starts the project's
 // program as separate processes by the command of the deploy file, and is the
 // engine, the callers, the backend and the platform itself. Each case writes what
-// was sent, answered and run to a record. It exits with 1 if the rule was broken, 0
-// if it held, and 2 if the case could not run.
-package main
+// was sent, answered and run to a record.
+package rig2
 
 import (
 	"fmt"
@@ -21,17 +20,19 @@
 // cases are the cases by name. A case returns whether the rule was broken.
 var cases = map[string]func(*rig) bool{}
 
-func main() {
-	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
+// Main plays a case from the root of the repository and writes its record. The exit
+// code is 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
+func Main(name, record string) int {
+	if cases[name] == nil {
 		var names []string
 		for name := range cases {
 			names = append(names, name)
 		}
 		sort.Strings(names)
-		fmt.Fprintln(os.Stderr, "usage: rig2 CASE RECORD, from the root of the repository; cases:", names)
-		os.Exit(2)
+		fmt.Fprintln(os.Stderr, "rig2: no such case; there are", names)
+		return 2
 	}
-	os.Exit(play(cases[os.Args[1]], os.Args[2]))
+	return play(cases[name], record)
 }
 
 // play plays one case and returns the exit code.
